--- /dev/null
+++ b/ryegauge/bookkeeping/ranges.py
@@ -0,0 +1,89 @@
+"""Sets of task numbers as sorted half-open ranges, small enough to be records."""
+
+from collections.abc import Iterable, Iterator
+
+
+class Ranges:
+    """An immutable set of integers. Jobs have up to 100,000 tasks, mostly in runs."""
+
+    __slots__ = ("spans",)
+
+    def __init__(self, spans: tuple[tuple[int, int], ...] = ()) -> None:
+        self.spans = spans
+
+    @staticmethod
+    def of(numbers: Iterable[int]) -> "Ranges":
+        spans: list[tuple[int, int]] = []
+        for n in sorted(set(numbers)):
+            if spans and spans[-1][1] == n:
+                spans[-1] = (spans[-1][0], n + 1)
+            else:
+                spans.append((n, n + 1))
+        return Ranges(tuple(spans))
+
+    @staticmethod
+    def up_to(count: int) -> "Ranges":
+        return Ranges(((0, count),)) if count > 0 else Ranges()
+
+    @staticmethod
+    def from_flat(flat: list[int]) -> "Ranges":
+        return Ranges(tuple(zip(flat[::2], flat[1::2], strict=True)))
+
+    def flat(self) -> list[int]:
+        return [bound for span in self.spans for bound in span]
+
+    def __len__(self) -> int:
+        return sum(b - a for a, b in self.spans)
+
+    def __bool__(self) -> bool:
+        return bool(self.spans)
+
+    def __iter__(self) -> Iterator[int]:
+        for a, b in self.spans:
+            yield from range(a, b)
+
+    def __contains__(self, n: object) -> bool:
+        return isinstance(n, int) and any(a <= n < b for a, b in self.spans)
+
+    def __eq__(self, other: object) -> bool:
+        return isinstance(other, Ranges) and self.spans == other.spans
+
+    def __hash__(self) -> int:
+        return hash(self.spans)
+
+    def __repr__(self) -> str:
+        return f"Ranges({','.join(f'{a}-{b}' for a, b in self.spans)})"
+
+    def __or__(self, other: "Ranges") -> "Ranges":
+        spans: list[tuple[int, int]] = []
+        for a, b in sorted(self.spans + other.spans):
+            if spans and a <= spans[-1][1]:
+                spans[-1] = (spans[-1][0], max(b, spans[-1][1]))
+            else:
+                spans.append((a, b))
+        return Ranges(tuple(spans))
+
+    def __sub__(self, other: "Ranges") -> "Ranges":
+        spans: list[tuple[int, int]] = []
+        for a, b in self.spans:
+            for c, d in other.spans:
+                if d <= a:
+                    continue
+                if c >= b:
+                    break
+                if c > a:
+                    spans.append((a, c))
+                a = max(a, d)
+            if a < b:
+                spans.append((a, b))
+        return Ranges(tuple(spans))
+
+    def first(self, count: int) -> "Ranges":
+        """The lowest `count` numbers."""
+        spans: list[tuple[int, int]] = []
+        for a, b in self.spans:
+            if count <= 0:
+                break
+            spans.append((a, min(b, a + count)))
+            count -= b - a
+        return Ranges(tuple(spans))
--- /dev/null
+++ b/ryegauge/bookkeeping/state.py
@@ -0,0 +1,163 @@
+"""The client of the state service, within this controller's share of its limits."""
+
+from typing import Any, NamedTuple
+from urllib.parse import quote
+
+from ryegauge.bookkeeping.budget import Budget
+from ryegauge.transport.http import Client, Unreachable
+
+
+class Unavailable(Exception):
+    """Refused or not executed for certain: 429, 503 or no share left."""
+
+
+class Unknown(Exception):
+    """No answer: it may have been executed, or may still be."""
+
+
+class Gone(Exception):
+    """The lease or the revision asked for no longer exists."""
+
+
+class Put(NamedTuple):
+    key: str
+    value: Any
+    lease: int | None = None
+
+
+class Delete(NamedTuple):
+    key: str
+
+
+class Conflict(Exception):
+    def __init__(self, failed: list[str]) -> None:
+        super().__init__(", ".join(failed))
+        self.failed = failed
+
+
+class Event(NamedTuple):
+    key: str
+    value: Any  # None: deleted
+    version: int
+
+
+class StateClient:
+    def __init__(self, client: Client, rps: float, write_rps: float, nodes: int) -> None:
+        self._client = client
+        # A tenth stays unused: the service counts by its own clock.
+        self.requests = Budget(0.9 * rps / nodes, 0.9 * rps / nodes)
+        self.writes = Budget(0.9 * write_rps / nodes, 0.9 * write_rps / nodes)
+        self.last_answer_at = float("-inf")
+
+    async def _call(
+        self, method: str, target: str, body: Any = None, *, timeout_s: float, urgent: bool
+    ) -> tuple[int, Any]:
+        await self.requests.take(urgent=urgent)
+        try:
+            status, answer, _ = await self._client.request(
+                method, target, body, timeout_s=timeout_s
+            )
+        except Unreachable as error:
+            raise Unknown(str(error)) from None
+        if status == 429:
+            self.requests.drain()
+        if status in (429, 503):
+            raise Unavailable(str(status))
+        return status, answer
+
+    async def get(self, key: str, *, timeout_s: float) -> tuple[Any, int] | None:
+        """(value, version), or None if there is no such key."""
+        status, answer = await self._call(
+            "GET", f"/kv/{quote(key)}", timeout_s=timeout_s, urgent=False
+        )
+        if status == 404:
+            return None
+        if status != 200:
+            raise Unknown(f"status {status}")
+        return answer["data"], answer["stamp"]
+
+    async def page(self, prefix: str, after: str | None, *, timeout_s: float) -> tuple[
+        list[Event], bool, int
+    ]:
+        target = f"/kv?under={quote(prefix)}&page=500"
+        if after is not None:
+            target += f"&since={quote(after)}"
+        status, answer = await self._call("GET", target, timeout_s=timeout_s, urgent=True)
+        if status != 200:
+            raise Unknown(f"status {status}")
+        items = [Event(i["path"], i["data"], i["stamp"]) for i in answer["items"]]
+        return items, bool(answer.get("hasNext")), answer["ledger"]
+
+    async def changes(
+        self, prefix: str, since: int, *, timeout_s: float, urgent: bool
+    ) -> tuple[list[Event], int]:
+        """Everything under the prefix after a revision, read at once (no waiting)."""
+        status, answer = await self._call(
+            "GET",
+            f"/watch?under={quote(prefix)}&since={since}&waitMs=0",
+            timeout_s=timeout_s,
+            urgent=urgent,
+        )
+        if status == 410:
+            raise Gone
+        if status != 200:
+            raise Unknown(f"status {status}")
+        events = [
+            Event(e["write"], e["data"], e["stamp"])
+            if e.get("write") is not None
+            else Event(e["delete"], None, e["stamp"])
+            for e in answer["events"]
+        ]
+        return events, answer["ledger"]
+
+    async def commit(
+        self,
+        guards: dict[str, int],
+        changes: list[Put | Delete],
+        *,
+        timeout_s: float,
+        urgent: bool = False,
+    ) -> int:
+        """One transaction; returns its revision. Raises Conflict, Gone (the lease),
+        Unavailable (not executed) or Unknown (may be executed, even later)."""
+        if changes:
+            await self.writes.take(float(len(changes)), urgent=urgent)
+        apply: list[dict[str, Any]] = []
+        for change in changes:
+            if isinstance(change, Delete):
+                apply.append({"delete": change.key})
+            else:
+                entry = {"write": change.key, "data": change.value}
+                if change.lease is not None:
+                    entry["tenure"] = change.lease
+                apply.append(entry)
+        body = {"if": [{"path": k, "stamp": v} for k, v in guards.items()], "apply": apply}
+        status, answer = await self._call(
+            "POST", "/multi", body, timeout_s=timeout_s, urgent=urgent
+        )
+        if status == 200:
+            return int(answer["ledger"])
+        if status == 409:
+            raise Conflict(list(answer.get("failed", [])))
+        if status == 400 and isinstance(answer, dict) and answer.get("error") == "no such lease":
+            raise Gone
+        if status == 400:
+            raise Unavailable(f"refused as malformed: {answer!r}")
+        raise Unknown(f"status {status}")
+
+    async def grant(self, ttl_s: float, *, timeout_s: float) -> int:
+        status, answer = await self._call(
+            "POST", "/grants", {"ttlMs": int(ttl_s * 1000)}, timeout_s=timeout_s, urgent=True
+        )
+        if status != 200:
+            raise Unknown(f"status {status}")
+        return int(answer["tenure"])
+
+    async def extend(self, lease: int, *, timeout_s: float) -> None:
+        status, _ = await self._call(
+            "POST", f"/grants/{lease}/extend", {}, timeout_s=timeout_s, urgent=True
+        )
+        if status == 404:
+            raise Gone
+        if status != 200:
+            raise Unknown(f"status {status}")
--- /dev/null
+++ b/ryegauge/bookkeeping/syncer.py
@@ -0,0 +1,108 @@
+"""Keeps the job book current, and answers when it is current enough for a question."""
+
+import logging
+from collections.abc import Callable
+
+import trio
+
+from ryegauge.bookkeeping.jobbook import PREFIX, JobBook
+from ryegauge.bookkeeping.state import Event, Gone, StateClient, Unavailable, Unknown
+
+log = logging.getLogger(__name__)
+
+
+class Syncer:
+    """One read of the changes serves every question that was asked before it began."""
+
+    def __init__(self, state: StateClient, book: JobBook, idle_s: float, timeout_s: float) -> None:
+        self._state = state
+        self._book = book
+        self._idle_s = idle_s
+        self._timeout_s = timeout_s
+        # At most half of the requests go into reading.
+        self._gap_s = 2.0 / state.requests.rate
+        self._asked = trio.Event()
+        self._waiting: list[trio.Event] = []
+        self._failed: set[trio.Event] = set()
+        # When the last successful read was sent: the book holds all that was
+        # written before.
+        self.began_at = float("-inf")
+        self.failures = 0
+        self.on_sync: list[Callable[[], None]] = []
+        self.ready = trio.Event()
+
+    def poke(self) -> None:
+        """Something was written; read soon."""
+        self._asked.set()
+
+    async def fresh(self) -> None:
+        """Returns once a read that began after this call is taken in."""
+        done = trio.Event()
+        self._waiting.append(done)
+        self._asked.set()
+        try:
+            with trio.fail_after(1.5 * self._timeout_s):
+                await done.wait()
+        except trio.TooSlowError:
+            raise Unavailable("no read in time") from None
+        finally:
+            if done in self._waiting:
+                self._waiting.remove(done)
+        if done in self._failed:
+            self._failed.discard(done)
+            raise Unavailable("the state service did not answer")
+
+    async def run(self) -> None:
+        full = True
+        while True:
+            served, self._waiting = self._waiting, []
+            self._asked = trio.Event()
+            began = trio.current_time()
+            try:
+                with trio.fail_after(self._timeout_s * (8 if full else 1)):
+                    if full:
+                        await self._read_all()
+                        full = False
+                    else:
+                        await self._read_changes()
+                self.began_at = began
+                self.failures = 0
+            except Gone:
+                log.info("the revision asked for is too old: reading everything again")
+                full = True
+            except (Unavailable, Unknown, trio.TooSlowError) as error:
+                self.failures += 1
+                log.debug("reading changes failed: %s", error)
+            if self.began_at == began:
+                self.ready.set()
+                for listener in self.on_sync:
+                    listener()
+            else:
+                self._failed.update(served)
+            for event in served:
+                event.set()
+            pause = self._gap_s if not self.failures else min(0.5, 0.1 * 2**self.failures)
+            await trio.sleep_until(began + pause)
+            with trio.move_on_at(began + max(pause, self._idle_s)):
+                await self._asked.wait()
+
+    async def _read_changes(self) -> None:
+        events, ledger = await self._state.changes(
+            PREFIX, self._book.ledger, timeout_s=self._timeout_s, urgent=False
+        )
+        self._book.apply(events, ledger)
+
+    async def _read_all(self) -> None:
+        """Pages are read at different revisions; starting over from the revision of
+        the first one re-applies whatever changed meanwhile."""
+        items: list[Event] = []
+        after: str | None = None
+        first: int | None = None
+        while True:
+            page, more, ledger = await self._state.page(PREFIX, after, timeout_s=self._timeout_s)
+            first = ledger if first is None else first
+            items.extend(page)
+            if not more:
+                break
+            after = page[-1].key
+        self._book.replace(items, first)
--- /dev/null
+++ b/ryegauge/config.py
@@ -0,0 +1,210 @@
+"""The platform's settings file (TOML) and the operators' properties, both checked."""
+
+import os
+import tomllib
+from pathlib import Path
+from typing import Annotated, Any
+
+import msgspec
+
+Positive = Annotated[float, msgspec.Meta(gt=0)]
+NonNegative = Annotated[float, msgspec.Meta(ge=0)]
+Count = Annotated[int, msgspec.Meta(ge=1)]
+Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
+
+# Steady clocks of two machines drift apart by at most this much (protocol).
+CLOCK_DRIFT = 0.0005
+
+
+class ConfigError(Exception):
+    """A settings or properties file that cannot be used; says which key and why."""
+
+
+class Team(msgspec.Struct, frozen=True):
+    name: str
+    cpus: NonNegative = 0.0
+    cpus_max: NonNegative = 0.0
+    gpus: NonNegative = 0.0
+    gpus_max: NonNegative = 0.0
+
+
+class Objective(msgspec.Struct, frozen=True, rename={"job_class": "class"}):
+    kind: str
+    share: float = 0.0
+    job_class: str = ""
+    within_s: float = 0.0
+    times: float = 1.0
+
+
+class Workers(msgspec.Struct, frozen=True):
+    report_s: Positive
+    lease_s: Positive
+    cancel_s: Positive
+
+
+class State(msgspec.Struct, frozen=True):
+    rps: Positive
+    write_rps: Positive
+    value_kb: Positive
+    txn_ops: Count
+
+
+class Cloud(msgspec.Struct, frozen=True):
+    rps: Positive
+    list_lag_s: NonNegative = 0.0
+
+
+class Quota(msgspec.Struct, frozen=True):
+    core_share: Positive = 1.0
+    memory_mb: Positive = 256.0
+    max_connections: Count = 1000
+
+
+class Shared(msgspec.Struct, frozen=True):
+    nodes: Count
+    zones: list[str]
+    teams: list[Team]
+    workers: Workers
+    state: State
+    cloud: Cloud
+    clock_error_ms: NonNegative = 0.0
+    objectives: list[Objective] = []
+    quota: Quota = Quota()
+
+
+class Peer(msgspec.Struct, frozen=True):
+    node_name: str
+    peer_addr: str
+    area: str = ""
+
+
+class Outside(msgspec.Struct, frozen=True):
+    cloud: str
+    state: str
+
+
+class Properties(msgspec.Struct, frozen=True):
+    """The operators' own settings; docs/operations.md explains each."""
+
+    takeback_threshold: Share = 0.3
+    takeback_window_s: Positive = 30.0
+    # How long a machine may stand idle, as a multiple of its nominal boot time.
+    idle_boots: NonNegative = 1.0
+    # What deleting a machine costs at least; an idle one is kept that long.
+    paid_period_s: NonNegative = 60.0
+
+
+class Settings(msgspec.Struct, frozen=True):
+    node_name: str
+    area: str
+    listen: str
+    mesh_addr: str
+    outside: Outside
+    settings: Shared
+    known: list[Peer] = []
+    properties: Properties = Properties()
+
+    @property
+    def node_names(self) -> list[str]:
+        return sorted({self.node_name, *(peer.node_name for peer in self.known)})
+
+    @property
+    def report_gap_s(self) -> float:
+        """The longest ordinary pause between a worker's reports."""
+        return self.settings.workers.report_s * 1.25
+
+    @property
+    def term_s(self) -> float:
+        """How long authority lasts past the renewal that obtained it.
+
+        A controller that nobody can reach may go on answering its workers for a
+        term, and they keep their tasks for a lease after that; both together,
+        with the reports around them and drift, must fit into `cancel_s`.
+        """
+        w = self.settings.workers
+        spare = w.cancel_s * (1 - 4 * CLOCK_DRIFT) - w.lease_s - 2 * self.report_gap_s
+        return min(1.5 * w.lease_s, 0.9 * spare)
+
+
+def split_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"expected HOST:PORT, got {text!r}")
+    return host, int(port)
+
+
+def load(path: str | Path, properties: str | Path | None = None) -> Settings:
+    """Reads and checks the settings; raises ConfigError with the key at fault."""
+    try:
+        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
+    except OSError as error:
+        raise ConfigError(f"{path}: cannot be read: {error.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: not TOML: {error}") from None
+    raw.pop("properties", None)
+    try:
+        settings = msgspec.convert(raw, Settings)
+    except msgspec.ValidationError as error:
+        raise ConfigError(f"{path}: {error}") from None
+    _check(settings, str(path))
+    properties = properties or os.environ.get("RYEGAUGE_PROPERTIES")
+    if properties:
+        settings = msgspec.structs.replace(settings, properties=load_properties(properties))
+    return settings
+
+
+def _check(settings: Settings, path: str) -> None:
+    addresses = {
+        "listen": settings.listen,
+        "mesh_addr": settings.mesh_addr,
+        "outside.cloud": settings.outside.cloud,
+        "outside.state": settings.outside.state,
+    }
+    for peer in settings.known:
+        addresses[f"known.peer_addr ({peer.node_name})"] = peer.peer_addr
+    for key, text in addresses.items():
+        try:
+            split_address(text)
+        except ValueError as error:
+            raise ConfigError(f"{path}: {key}: {error}") from None
+    for team in settings.settings.teams:
+        if team.cpus > team.cpus_max or team.gpus > team.gpus_max:
+            raise ConfigError(
+                f"{path}: settings.teams ({team.name}): the guarantee must not exceed the maximum"
+            )
+    w = settings.settings.workers
+    if settings.term_s < 2 * w.report_s or settings.term_s < 0.1:
+        raise ConfigError(
+            f"{path}: settings.workers.cancel_s: {w.cancel_s:g} leaves no room for a term of "
+            f"authority; expected more than lease_s ({w.lease_s:g}) and five reports "
+            f"({w.report_s:g} each) together"
+        )
+
+
+def load_properties(path: str | Path) -> Properties:
+    """Java-style properties: `takeback.threshold = 0.3` and so on."""
+    import javaproperties
+
+    try:
+        with open(path, encoding="utf-8") as file:
+            pairs = javaproperties.load(file)
+    except OSError as error:
+        raise ConfigError(f"{path}: cannot be read: {error.strerror}") from None
+    except (ValueError, UnicodeDecodeError) as error:
+        raise ConfigError(f"{path}: not a properties file: {error}") from None
+    known = {name.replace("_", "."): name for name in Properties.__struct_fields__}
+    values: dict[str, Any] = {}
+    for key, text in pairs.items():
+        if key not in known:
+            raise ConfigError(f"{path}: {key}: unknown; expected one of {', '.join(sorted(known))}")
+        try:
+            values[known[key]] = float(text)
+        except ValueError:
+            raise ConfigError(f"{path}: {key}: expected a number, got {text!r}") from None
+    try:
+        return msgspec.convert(values, Properties)
+    except msgspec.ValidationError as error:
+        message = str(error)
+        for dotted, name in known.items():
+            message = message.replace(f"$.{name}", dotted)
+        raise ConfigError(f"{path}: {message}") from None
--- /dev/null
+++ b/ryegauge/coordination/__init__.py
@@ -0,0 +1,1 @@
+"""Authority, parting, the leader and the loops that reconcile."""
--- /dev/null
+++ b/ryegauge/coordination/frontdoor.py
@@ -0,0 +1,245 @@
+"""What users are answered: submissions, polls and cancellations.
+
+Nothing is held back: what can't be taken now is refused at once with Retry-After.
+"""
+
+import logging
+import time
+from collections.abc import Callable
+from typing import Any, Literal
+
+import trio
+
+from ryegauge.bookkeeping.jobbook import (
+    Job,
+    JobBook,
+    final_key,
+    job_key,
+    job_record,
+    share_key,
+)
+from ryegauge.bookkeeping.state import (
+    Conflict,
+    Delete,
+    Gone,
+    Put,
+    StateClient,
+    Unavailable,
+    Unknown,
+)
+from ryegauge.bookkeeping.syncer import Syncer
+from ryegauge.config import Settings
+from ryegauge.coordination.needs import never_runs
+from ryegauge.protocol.cloud import MachineType
+from ryegauge.protocol.jobs import JobSpec, parse_job, valid_uid
+from ryegauge.transport.http import Malformed, Reply, decode
+
+log = logging.getLogger(__name__)
+
+Outcome = Literal["accepted", "known", "unsure"]
+
+
+class _Submission:
+    __slots__ = ("at", "done", "outcome", "spec")
+
+    def __init__(self, spec: JobSpec, at: float) -> None:
+        self.spec = spec
+        self.at = at
+        self.done = trio.Event()
+        self.outcome: Outcome = "unsure"
+
+
+def _busy(why: str, after_s: float = 1.0) -> Reply:
+    return Reply(503, {"error": why}, after_s)
+
+
+class FrontDoor:
+    def __init__(
+        self,
+        settings: Settings,
+        state: StateClient,
+        book: JobBook,
+        syncer: Syncer,
+        types: Callable[[], dict[str, MachineType]],
+        wrote: Callable[[int], None],
+    ) -> None:
+        self._settings = settings
+        self._state = state
+        self._book = book
+        self._syncer = syncer
+        self._types = types
+        self._wrote = wrote
+        self._teams = {team.name: team for team in settings.settings.teams}
+        self._queue: list[_Submission] = []
+        self._queued = trio.Event()
+        # More than this many seconds' worth of writes is refused at once.
+        self._queue_limit = max(12, int(2 * state.writes.rate))
+        self._waiting = 0
+
+    async def handle(self, method: str, path: str, body: bytes) -> Reply:
+        parts = path.partition("?")[0].strip("/").split("/")
+        # A flood of questions is refused early: answers would come too late anyway.
+        if self._waiting >= self._settings.settings.quota.max_connections // 4:
+            return Reply(429, {"error": "too many requests"}, 2.0)
+        self._waiting += 1
+        try:
+            match method, parts:
+                case "POST", ["v1", "jobs"]:
+                    return await self._submit(body)
+                case "GET", ["v1", "jobs", uid]:
+                    return await self._poll(uid)
+                case "POST", ["v1", "jobs", uid, "cancel"]:
+                    return await self._cancel(uid)
+        except (Unavailable, Unknown, Gone) as error:
+            return _busy(f"the state service cannot be used: {error}")
+        finally:
+            self._waiting -= 1
+        return Reply(404, {"error": "no such path"})
+
+    # -- submissions -----------------------------------------------------------------
+
+    async def _submit(self, body: bytes) -> Reply:
+        raw = decode(body)
+        try:
+            spec = parse_job(raw)
+        except Malformed:
+            # A retry of a known job is answered with its state, whatever else it says.
+            uid = raw.get("uid") if isinstance(raw, dict) else None
+            if valid_uid(uid) and (view := await self._known(str(uid))) is not None:
+                return Reply(200, view)
+            raise
+        if (job := self._book.jobs.get(spec.uid)) is not None:
+            await self._syncer.fresh()
+            return Reply(200, self._book.jobs.get(spec.uid, job).view())
+        types = self._types()
+        if not types:
+            if (view := await self._known(spec.uid)) is not None:
+                return Reply(200, view)
+            return _busy("the machine types are not known yet")
+        if (why := never_runs(spec, types, self._teams)) is not None:
+            if (view := await self._known(spec.uid)) is not None:
+                return Reply(200, view)
+            return Reply(422, {"error": why})
+        if len(self._queue) >= self._queue_limit:
+            return Reply(429, {"error": "too many submissions"}, 2.0)
+        submission = _Submission(spec, time.time())
+        self._queue.append(submission)
+        self._queued.set()
+        # A user waits 5 s; the writer gives up sooner and says so.
+        with trio.move_on_after(4.0):
+            await submission.done.wait()
+        if submission.outcome == "accepted":
+            return Reply(201, {"uid": spec.uid, "status": "queued"})
+        if submission.outcome == "known":
+            if (view := await self._known(spec.uid)) is not None:
+                return Reply(200, view)
+        if submission in self._queue:
+            self._queue.remove(submission)
+        return _busy("the job could not be recorded")
+
+    async def write_submissions(self) -> None:
+        """Group commit: one transaction for all that wait."""
+        limit = self._settings.settings.state.txn_ops
+        while True:
+            await self._queued.wait()
+            if not self._queue:
+                self._queued = trio.Event()
+                continue
+            batch, self._queue = self._take(limit)
+            try:
+                await self._write(batch)
+            except (Unavailable, Unknown, Gone) as error:
+                log.debug("recording jobs failed: %s", error)
+                for submission in batch:
+                    submission.done.set()
+
+    def _take(self, limit: int) -> tuple[list[_Submission], list[_Submission]]:
+        """As many as a transaction may hold, by number and (well below 64 KiB) by size."""
+        size = 0
+        for n, submission in enumerate(self._queue):
+            size += 600 + 4 * len(str(submission.spec.types or ""))
+            if n >= limit or (n > 0 and size > 40_000):
+                return self._queue[:n], self._queue[n:]
+        return self._queue, []
+
+    async def _write(self, batch: list[_Submission]) -> None:
+        while batch:
+            first = {s.spec.uid: s for s in reversed(batch)}  # one per uid, the earliest
+            guards: dict[str, int] = {}
+            changes: list[Put | Delete] = []
+            for uid, s in first.items():
+                guards[job_key(uid)] = 0
+                guards[final_key(uid)] = 0
+                changes.append(Put(job_key(uid), job_record(s.spec, s.at, False)))
+            try:
+                ledger = await self._state.commit(guards, changes, timeout_s=2.0)
+            except Conflict as conflict:
+                failed = set(conflict.failed)
+                known = [
+                    s for s in batch
+                    if job_key(s.spec.uid) in failed or final_key(s.spec.uid) in failed
+                ]
+                if not known:
+                    raise Unavailable("a conflict without a cause") from None
+                for s in known:
+                    s.outcome = "known"
+                    s.done.set()
+                batch = [s for s in batch if s not in known]
+                continue
+            for s in batch:
+                s.outcome = "accepted" if first[s.spec.uid] is s else "known"
+                s.done.set()
+            self._wrote(ledger)
+            return
+
+    # -- questions ------------------------------------------------------------------------
+
+    async def _known(self, uid: str) -> dict[str, Any] | None:
+        """The job's state from a read that begins now, or None if it was never accepted."""
+        await self._syncer.fresh()
+        if (job := self._book.jobs.get(uid)) is not None:
+            return job.view()
+        found = await self._state.get(final_key(uid), timeout_s=1.0)
+        if found is None:
+            return None
+        record = found[0]
+        return {"uid": uid, "status": record["st"], "done": record["d"], "running": 0}
+
+    async def _poll(self, uid: str) -> Reply:
+        if not valid_uid(uid):
+            return Reply(404, {"error": "no such job"})
+        view = await self._known(uid)
+        return Reply(404, {"error": "no such job"}) if view is None else Reply(200, view)
+
+    async def _cancel(self, uid: str) -> Reply:
+        if not valid_uid(uid):
+            return Reply(404, {"error": "no such job"})
+        for _ in range(5):
+            view = await self._known(uid)
+            if view is None:
+                return Reply(404, {"error": "no such job"})
+            if view["status"] in ("done", "cancelled"):
+                return Reply(200, {"uid": uid, "status": view["status"]})
+            job = self._book.jobs.get(uid)
+            if job is None:
+                continue
+            try:
+                ledger = await self._state.commit(
+                    self._unfinished(job),
+                    [Put(job_key(uid), job_record(job.spec, job.submitted_at, True))],
+                    timeout_s=1.0,
+                )
+            except Conflict:
+                continue
+            self._wrote(ledger)
+            return Reply(200, {"uid": uid, "status": "cancelled"})
+        return _busy("the job keeps changing")
+
+    def _unfinished(self, job: Job) -> dict[str, int]:
+        """Guards that hold only while the job is as we know it, that is, not done."""
+        uid = job.spec.uid
+        guards = {job_key(uid): job.version}
+        for part in range(self._settings.settings.nodes):
+            share = job.shares.get(part)
+            guards[share_key(uid, part)] = 0 if share is None else share.version
+        return guards
--- /dev/null
+++ b/ryegauge/coordination/leader.py
@@ -0,0 +1,387 @@
+"""The leader: gives parts their allotments, and rents and returns machines.
+
+No I/O and no clock. What is decided here is written (or called) by the loops in
+`node`; only what the book shows counts as allotted.
+"""
+
+import math
+from dataclasses import dataclass, field
+
+from ryegauge.bookkeeping.jobbook import Job, JobBook, Share
+from ryegauge.bookkeeping.ranges import Ranges
+from ryegauge.config import Settings
+from ryegauge.coordination.needs import latest_finish, make_need, tracks_zones, zone_limits
+from ryegauge.coordination.parting import part_of
+from ryegauge.protocol.cloud import ListedMachine, MachineType
+from ryegauge.protocol.jobs import PRIORITIES
+from ryegauge.protocol.peers import MachineView, PartOrders, PartView
+from ryegauge.scheduling.estimates import Estimates
+from ryegauge.scheduling.planner import (
+    EPSILON,
+    Market,
+    Need,
+    Plan,
+    Rental,
+    Room,
+    place,
+    plan,
+    whole_room,
+)
+from ryegauge.scheduling.takeback import TakebackShare
+
+
+class Rented:
+    """A machine as the cloud knows it."""
+
+    __slots__ = ("failed", "idle_since", "listed", "name", "noticed", "reported", "since", "spot",
+                 "type", "zone")
+
+    def __init__(self, name: str, type_: str, zone: str, spot: bool, since: float) -> None:
+        self.name = name
+        self.type = type_
+        self.zone = zone
+        self.spot = spot
+        self.since = since  # rental request, in our clock
+        self.listed = False
+        self.failed = False
+        self.reported = False  # some part's owner has heard from it
+        self.noticed = False
+        self.idle_since: float | None = None
+
+
+@dataclass(slots=True)
+class Round:
+    """What a round wants done."""
+
+    allotments: dict[tuple[str, int], Share] = field(default_factory=dict)
+    rentals: list[Rental] = field(default_factory=list)
+    releases: list[str] = field(default_factory=list)
+
+
+class Leader:
+    def __init__(self, token: int, book: JobBook, settings: Settings, now: float) -> None:
+        self.token = token
+        self._book = book
+        self._settings = settings
+        self._since = now
+        self._parts = settings.settings.nodes
+        self._teams = {team.name: team for team in settings.settings.teams}
+        self._views: dict[int, tuple[PartView, float]] = {}
+        self.types: dict[str, MachineType] = {}  # with current prices
+        self.fleet: dict[str, Rented] = {}
+        self.listed_once = False
+        # Rental requests under way or of unknown outcome: rental -> until when to count.
+        self._expected: list[tuple[Rental, float, float]] = []
+        self._refused: dict[tuple[str, str, bool], tuple[float, float]] = {}
+        self._gone: dict[str, float] = {}
+        self._retire: set[str] = set()
+        self.estimates = Estimates()
+        self.takeback = TakebackShare(settings.properties.takeback_window_s)
+
+    # -- what the parts say ----------------------------------------------------------
+
+    def on_view(self, view: PartView, now: float) -> PartOrders:
+        self._views[view.part] = (view, now)
+        for sample in view.samples:
+            self.estimates.add(sample.job_class, sample.count, sample.log_ratio_sum)
+        for machine in view.machines:
+            rented = self.fleet.get(machine.name)
+            if rented is None:
+                if machine.name in self._gone:
+                    continue
+                # A surprise: rented by an earlier leader, or executed late.
+                rented = self._add(machine.name, machine.type, machine.zone, machine.spot, now)
+            rented.reported = True
+            rented.noticed = rented.noticed or machine.notice
+            if machine.empty:
+                if rented.idle_since is None:
+                    rented.idle_since = now
+            else:
+                rented.idle_since = None
+        mine = [name for name in self._gone if part_of(name, self._parts) == view.part]
+        retire = [name for name in self._retire if part_of(name, self._parts) == view.part]
+        return PartOrders(self._book.ledger, retire, mine)
+
+    # -- what the cloud says -----------------------------------------------------------
+
+    def _add(self, name: str, type_: str, zone: str, spot: bool, since: float) -> Rented:
+        rented = self.fleet[name] = Rented(name, type_, zone, spot, since)
+        if spot:
+            self.takeback.began(name, since)
+        return rented
+
+    def on_list(self, machines: list[ListedMachine], now: float) -> None:
+        """A whole list. Once listed a machine stays listed until it is gone, but a list
+        may be older than the one before: only a machine that stays away for twice the
+        lag is dropped from the fleet, and nothing is concluded for its tasks."""
+        self.listed_once = True
+        seen: set[str] = set()
+        for entry in machines:
+            if entry.name in self._gone:
+                continue
+            seen.add(entry.name)
+            rented = self.fleet.get(entry.name)
+            if rented is None:
+                rented = self._add(
+                    entry.name, entry.type, entry.zone, entry.spot, now - entry.age_s
+                )
+            rented.listed = True
+            rented.failed = entry.state == "failed"
+            if entry.state != "starting" and not rented.reported:
+                rented.since = min(rented.since, now)
+        for rented in list(self.fleet.values()):
+            if rented.listed and rented.name not in seen and not self._heard(rented.name, now):
+                self._lost(rented, now, taken=rented.spot)
+
+    def _heard(self, name: str, now: float) -> bool:
+        view = self._machine_view(name, now)
+        return view is not None and view.silent_s < self._settings.settings.workers.lease_s
+
+    def _machine_view(self, name: str, now: float) -> MachineView | None:
+        entry = self._views.get(part_of(name, self._parts))
+        if entry is None or now - entry[1] > self._settings.report_gap_s:
+            return None
+        return next((m for m in entry[0].machines if m.name == name), None)
+
+    def _lost(self, rented: Rented, now: float, taken: bool) -> None:
+        del self.fleet[rented.name]
+        self._retire.discard(rented.name)
+        if rented.spot:
+            self.takeback.ended(rented.name, now, taken)
+
+    def renting(self, rental: Rental, now: float) -> None:
+        """A request is being sent; until it is answered its machines are counted on."""
+        self._expected.append((rental, now, now + 2 * self._settings.settings.cloud.list_lag_s + 5))
+
+    def rented(self, rental: Rental, names: list[str], now: float) -> None:
+        self._settle(rental)
+        for name in names:
+            if name not in self.fleet and name not in self._gone:
+                self._add(name, rental.type, rental.zone, rental.spot, now)
+        if len(names) < rental.count:
+            self.refused(rental, now)
+
+    def refused(self, rental: Rental, now: float, settle: bool = False) -> None:
+        if settle:
+            self._settle(rental)
+        key = (rental.type, rental.zone, rental.spot)
+        _, pause = self._refused.get(key, (0.0, 0.0))
+        least = self._settings.settings.cloud.list_lag_s
+        pause = min(max(least, 2 * pause), 8 * least)
+        self._refused[key] = (now + pause, pause)
+
+    def not_executed(self, rental: Rental) -> None:
+        self._settle(rental)
+
+    def _settle(self, rental: Rental) -> None:
+        self._expected = [e for e in self._expected if e[0] is not rental]
+
+    def released(self, names: list[str], now: float) -> None:
+        for name in names:
+            self._gone[name] = now
+            if (rented := self.fleet.get(name)) is not None:
+                self._lost(rented, now, taken=rented.noticed)
+
+    # -- a round --------------------------------------------------------------------------
+
+    def round(self, now: float, wall: float) -> Round:
+        result = Round()
+        lasting = 10 * self._settings.settings.workers.lease_s
+        self._gone = {name: at for name, at in self._gone.items() if now - at < lasting}
+        if not self.types:
+            return result
+        running = self._running(now)
+        self._in_transit(running)
+        needs, jobs = self._needs()
+        market = Market(
+            types=self.types,
+            refused={key for key, (until, _) in self._refused.items() if until > now},
+            takeback_share=self.takeback.share(now),
+            takeback_threshold=self._settings.properties.takeback_threshold,
+        )
+        decided = plan(needs, running, self._starting(now), market, wall)
+        self._allot(decided, jobs, result)
+        if self.listed_once:
+            result.rentals = decided.rentals
+        result.releases = self._returns(decided, now)
+        return result
+
+    def _fresh_views(self, now: float) -> list[PartView]:
+        views: list[PartView] = []
+        for part, (view, at) in self._views.items():
+            owner = self._book.parts.get(part)
+            if (
+                owner is not None
+                and owner.token == view.token
+                and now - at < self._settings.report_gap_s
+            ):
+                views.append(view)
+        return views
+
+    def _running(self, now: float) -> list[Room]:
+        rooms: list[Room] = []
+        for view in self._fresh_views(now):
+            for m in view.machines:
+                type_ = self.types.get(m.type)
+                if type_ is None or not m.open or m.name in self._retire or m.name in self._gone:
+                    continue
+                room = whole_room(type_, m.name, m.zone, m.spot, view.part)
+                room.images = set(m.images)
+                room.used = bool(m.tasks)
+                for uid, flat, _ in m.tasks:
+                    job = self._book.jobs.get(uid)
+                    if job is None:
+                        room.cpus = -1.0
+                        break
+                    n = len(Ranges.from_flat(flat))
+                    room.cpus -= n * job.spec.cpus
+                    room.memory_gb -= n * job.spec.memory_gb
+                    room.gpus -= n * job.spec.gpus
+                rooms.append(room)
+        return rooms
+
+    def _in_transit(self, running: list[Room]) -> None:
+        """What is allotted to a part and on none of its machines yet takes room there."""
+        placed: dict[tuple[str, int], int] = {}
+        for view, _ in self._views.values():
+            for m in view.machines:
+                for uid, flat, _ in m.tasks:
+                    key = (uid, view.part)
+                    placed[key] = placed.get(key, 0) + len(Ranges.from_flat(flat))
+        for uid, job in self._book.jobs.items():
+            for part, share in job.shares.items():
+                count = len(share.tasks) - placed.get((uid, part), 0)
+                if count > 0 and not job.cancelled:
+                    need = make_need(job, count, None, self.estimates, math.inf)
+                    place(need, [r for r in running if r.part == part], steady_only=False)
+
+    def _needs(self) -> tuple[list[Need], dict[str, Job]]:
+        """Open tasks within their team's limits, in order of precedence."""
+        used_cpus: dict[str, float] = dict.fromkeys(self._teams, 0.0)
+        used_gpus: dict[str, float] = dict.fromkeys(self._teams, 0.0)
+        waiting: list[Job] = []
+        for job in self._book.jobs.values():
+            n = job.allotted_count
+            team = job.spec.team
+            used_cpus[team] = used_cpus.get(team, 0.0) + n * job.spec.cpus
+            used_gpus[team] = used_gpus.get(team, 0.0) + n * job.spec.gpus
+            if not job.over and job.open_tasks:
+                waiting.append(job)
+        objectives = self._settings.settings.objectives
+        ranked: list[tuple[tuple[bool, int, float, float, str], Job, float]] = []
+        for job in waiting:
+            finish = latest_finish(job, objectives)
+            team = self._teams.get(job.spec.team)
+            if team is None:
+                continue
+            within = (
+                used_cpus[team.name] < team.cpus
+                or (job.spec.gpus > 0 and used_gpus[team.name] < team.gpus)
+            )
+            rank = PRIORITIES.index(job.spec.priority)
+            ranked.append(
+                ((not within, rank, finish, job.submitted_at, job.spec.uid), job, finish)
+            )
+        ranked.sort(key=lambda entry: entry[0])
+        needs: list[Need] = []
+        for _, job, finish in ranked:
+            spec = job.spec
+            team = self._teams[spec.team]
+            count = len(job.open_tasks)
+            if spec.cpus > 0:
+                free = team.cpus_max - used_cpus[team.name]
+                count = min(count, int((free + EPSILON) // spec.cpus))
+            if spec.gpus > 0:
+                free = team.gpus_max - used_gpus[team.name]
+                count = min(count, int((free + EPSILON) // spec.gpus))
+            zones = zone_limits(job)
+            if count <= 0:
+                continue
+            used_cpus[team.name] += count * spec.cpus
+            used_gpus[team.name] += count * spec.gpus
+            needs.append(make_need(job, count, zones, self.estimates, finish))
+        return needs, {job.spec.uid: job for _, job, _ in ranked}
+
+    def _allot(self, decided: Plan, jobs: dict[str, Job], result: Round) -> None:
+        taken: dict[str, Ranges] = {}
+        for placement in decided.placements:
+            job = jobs[placement.uid]
+            rest = job.open_tasks - taken.get(placement.uid, Ranges())
+            tasks = rest.first(placement.count)
+            taken[placement.uid] = taken.get(placement.uid, Ranges()) | tasks
+            key = (placement.uid, placement.part)
+            share = result.allotments.get(key)
+            if share is None:
+                old = job.shares.get(placement.part)
+                share = (
+                    Share({}, Ranges(), 0)
+                    if old is None
+                    else Share(dict(old.allotted), old.done, old.version)
+                )
+                result.allotments[key] = share
+            zone = placement.zone if tracks_zones(job.spec) else ""
+            share.allotted[zone] = share.allotted.get(zone, Ranges()) | tasks
+
+    def _starting(self, now: float) -> list[Room]:
+        rooms: list[Room] = []
+        for r in self.fleet.values():
+            type_ = self.types.get(r.type)
+            if type_ is None or r.failed or r.reported or r.name in self._retire:
+                continue
+            if now - r.since > self._boot_limit_s(type_):
+                continue
+            room = whole_room(type_, r.name, r.zone, r.spot)
+            room.ready_s = max(1.0, type_.boot_s - (now - r.since))
+            rooms.append(room)
+        self._expected = [e for e in self._expected if e[2] > now]
+        for rental, since, _ in self._expected:
+            type_ = self.types.get(rental.type)
+            if type_ is not None:
+                for i in range(rental.count):
+                    room = whole_room(type_, f"?{since}-{i}", rental.zone, rental.spot)
+                    room.ready_s = type_.boot_s
+                    rooms.append(room)
+        return rooms
+
+    def _boot_limit_s(self, type_: MachineType) -> float:
+        # Boots take up to 1.5 times the nominal time as a rule, some several times.
+        return 3.0 * type_.boot_s
+
+    def _returns(self, decided: Plan, now: float) -> list[str]:
+        props = self._settings.properties
+        releases: list[str] = []
+        for r in self.fleet.values():
+            type_ = self.types.get(r.type)
+            age = now - r.since
+            view = self._machine_view(r.name, now)
+            if r.failed:
+                releases.append(r.name)
+            elif type_ is None:
+                continue
+            elif not r.reported:
+                # Never boots: it is charged until deleted.
+                if age > self._boot_limit_s(type_):
+                    releases.append(r.name)
+            elif view is None:
+                continue
+            elif r.name in self._retire or view.retiring:
+                if view.empty or view.silent_s > self._settings.settings.workers.lease_s:
+                    releases.append(r.name)
+                elif view.retiring:
+                    self._retire.add(r.name)
+            elif (
+                view.empty
+                and r.name not in decided.used
+                and r.idle_since is not None
+                and now - r.idle_since > props.idle_boots * type_.boot_s
+                and age > props.paid_period_s
+            ):
+                # Told first, released once its owner confirms that it stays empty.
+                self._retire.add(r.name)
+            elif self._surely_taken(view):
+                releases.append(r.name)
+        return releases[:100]
+
+    def _surely_taken(self, view: MachineView) -> bool:
+        """Silent after its notice: most likely taken. Releasing makes it certain."""
+        return view.notice and view.silent_s > 2 * self._settings.report_gap_s
--- /dev/null
+++ b/ryegauge/coordination/needs.py
@@ -0,0 +1,112 @@
+"""From jobs in the book to the planner's needs."""
+
+import math
+
+from ryegauge.bookkeeping.jobbook import Job
+from ryegauge.config import Objective, Team
+from ryegauge.protocol.cloud import MachineType
+from ryegauge.protocol.jobs import JobSpec
+from ryegauge.scheduling.estimates import Estimates
+from ryegauge.scheduling.planner import EPSILON, Need
+
+
+def make_need(
+    job: Job, count: int, zones: dict[str, int] | None, estimates: Estimates, latest: float
+) -> Need:
+    spec = job.spec
+    return Need(
+        uid=spec.uid,
+        count=count,
+        cpus=spec.cpus,
+        memory_gb=spec.memory_gb,
+        gpus=spec.gpus,
+        image=spec.image,
+        image_gb=spec.image_gb,
+        spot_ok=spec.spot,
+        service=spec.kind == "standing",
+        run_s=estimates.run_s(spec.job_class, spec.estimate_s),
+        latest_finish=latest,
+        types=None if spec.types is None else frozenset(spec.types),
+        zones=zones,
+        one_zone=spec.one_zone and zones is None,
+    )
+
+
+def latest_finish(job: Job, objectives: list[Objective]) -> float:
+    """By the deadline, or for classes without one by the tightest time that the
+    settings want them finished in (the paper knows only deadlines)."""
+    if job.spec.kind == "standing":
+        return math.inf
+    if job.spec.deadline_s is not None:
+        return job.submitted_at + job.spec.deadline_s
+    within = [
+        o.within_s
+        for o in objectives
+        if o.kind == "finished" and o.job_class == job.spec.job_class
+    ]
+    return job.submitted_at + min(within, default=math.inf)
+
+
+def zone_limits(job: Job) -> dict[str, int] | None:
+    """The zones that further tasks of a job may take, with how many each; None: any.
+
+    Everything allotted counts, since it may be on a machine."""
+    spec = job.spec
+    if spec.zone is None and not spec.one_zone and not spec.spread:
+        return None
+    live: dict[str, int] = {}
+    for share in job.shares.values():
+        for zone, tasks in share.allotted.items():
+            live[zone] = live.get(zone, 0) + len(tasks)
+    limits = _Limits(spec.tasks if not spec.spread else (spec.tasks + 1) // 2)
+    for zone, count in live.items():
+        limits[zone] = max(0, limits.default - count)
+    if spec.zone is not None:
+        return {spec.zone: limits[spec.zone]}
+    if spec.one_zone:
+        chosen = next((zone for zone, count in live.items() if count), None)
+        return None if chosen is None else {chosen: limits[chosen]}
+    return limits
+
+
+class _Limits(dict[str, int]):
+    """Zones not named may take `default` tasks."""
+
+    def __init__(self, default: int) -> None:
+        super().__init__()
+        self.default = default
+
+    def __missing__(self, key: str) -> int:
+        return self.default
+
+    def get(self, key: str, default: object = None) -> int:  # type: ignore[override]
+        return self[key]
+
+
+def tracks_zones(spec: JobSpec) -> bool:
+    """Whether allotments of the job must say in which zone they run."""
+    return spec.zone is not None or spec.one_zone or spec.spread
+
+
+def never_runs(
+    spec: JobSpec, types: dict[str, MachineType], teams: dict[str, Team]
+) -> str | None:
+    """Why a job can never run (422), or None."""
+    team = teams.get(spec.team)
+    if team is None:
+        return "unknown team"
+    copies = spec.tasks if spec.kind == "standing" else 1
+    if spec.cpus * copies > team.cpus_max + EPSILON:
+        return "needs more CPUs than the team's limit"
+    if spec.gpus * copies > team.gpus_max + EPSILON:
+        return "needs more cards than the team's limit"
+    for type_ in types.values():
+        if (
+            (spec.types is None or type_.name in spec.types)
+            and (spec.zone is None or spec.zone in type_.zones)
+            and spec.cpus <= type_.cpus
+            and spec.gpus <= type_.gpus
+            and spec.memory_gb <= type_.memory_gb
+        ):
+            return None
+    return "a task fits no allowed machine type"
--- /dev/null
+++ b/ryegauge/coordination/node.py
@@ -0,0 +1,502 @@
+"""One controller: the loops that bring what is towards what is wanted."""
+
+import logging
+import secrets
+import time
+from collections.abc import Awaitable, Callable
+
+import trio
+
+from ryegauge.bookkeeping.budget import Budget
+from ryegauge.bookkeeping.jobbook import JobBook, Share, job_key, share_key
+from ryegauge.bookkeeping.state import (
+    Conflict,
+    Delete,
+    Gone,
+    Put,
+    StateClient,
+    Unavailable,
+    Unknown,
+)
+from ryegauge.bookkeeping.syncer import Syncer
+from ryegauge.config import Settings, split_address
+from ryegauge.coordination.frontdoor import FrontDoor
+from ryegauge.coordination.leader import Leader
+from ryegauge.coordination.part import PartOwner
+from ryegauge.coordination.parting import part_of
+from ryegauge.coordination.terms import LEADER_KEY, Term, part_key
+from ryegauge.protocol.cloud import (
+    Catalog,
+    ListedMachine,
+    MachinePage,
+    MachineType,
+    Rented,
+    parse,
+)
+from ryegauge.protocol.peers import PartOrders, PartView, Poke, parse_message, to_wire
+from ryegauge.protocol.workers import parse_report, report_reply
+from ryegauge.scheduling.planner import Rental
+from ryegauge.transport.http import Client, Malformed, Reply, Server, Unreachable, decode
+
+log = logging.getLogger(__name__)
+
+# Errors after which a write is tried again from the newest state of the book.
+RETRY = (Conflict, Gone, Unavailable, Unknown)
+
+
+class Node:
+    def __init__(self, settings: Settings) -> None:
+        self._settings = settings
+        shared = settings.settings
+        sockets = shared.quota.max_connections
+        state_host, state_port = split_address(settings.outside.state)
+        cloud_host, cloud_port = split_address(settings.outside.cloud)
+        self._idle_s = 4 * shared.workers.lease_s
+        self._state = StateClient(
+            Client(state_host, state_port, max_connections=16, idle_s=self._idle_s),
+            shared.state.rps,
+            shared.state.write_rps,
+            shared.nodes,
+        )
+        self._cloud = Client(cloud_host, cloud_port, max_connections=8, idle_s=self._idle_s)
+        # Only the leader calls the cloud; a new one may follow an old one closely.
+        self._cloud_budget = Budget(0.8 * shared.cloud.rps, shared.cloud.rps)
+        self._peers = {}
+        for peer in settings.known:
+            host, port = split_address(peer.peer_addr)
+            self._peers[peer.node_name] = Client(
+                host, port, max_connections=4, idle_s=self._idle_s
+            )
+        self._report_s = shared.workers.report_s
+        self.book = JobBook()
+        self._syncer = Syncer(
+            self._state, self.book, idle_s=min(0.5, self._report_s / 2), timeout_s=1.0
+        )
+        self._term = Term(
+            settings, self._state, self.book, self._syncer, secrets.token_hex(6)
+        )
+        self._types: dict[str, MachineType] = {}
+        self._front = FrontDoor(
+            settings, self._state, self.book, self._syncer, lambda: self._types, self._wrote
+        )
+        self._owned: dict[int, PartOwner] = {}
+        self._leader: Leader | None = None
+        self._changed = trio.Event()  # something that owners or the leader should look at
+        self._to_tell: int = 0  # revision that the peers should read
+        self._tell = trio.Event()
+        self.book.on_job.append(self._on_job)
+        self._syncer.on_sync.append(self._on_sync)
+        self._public = Server(
+            self._handle_public,
+            max_connections=int(0.8 * sockets),
+            idle_s=self._idle_s,
+            request_s=5.0,
+        )
+        self._mesh = Server(
+            self._handle_peer,
+            max_connections=int(0.1 * sockets),
+            idle_s=2 * self._idle_s,
+            request_s=5.0,
+        )
+
+    async def run(self) -> None:
+        loops: list[Callable[[], Awaitable[None]]] = [
+            self._syncer.run,
+            self._term.run,
+            self._front.write_submissions,
+            self._own_parts,
+            self._write_outcomes,
+            self._report_parts,
+            self._hand_over,
+            self._tell_peers,
+            self._lead,
+            self._watch_catalog,
+            self._watch_fleet,
+        ]
+        async with trio.open_nursery() as nursery:
+            for loop in loops:
+                nursery.start_soon(self._guarded, loop)
+            nursery.start_soon(self._public.serve, *split_address(self._settings.listen))
+            nursery.start_soon(self._mesh.serve, *split_address(self._settings.mesh_addr))
+
+    async def _guarded(self, loop: Callable[[], Awaitable[None]]) -> None:
+        """A controller never ends by itself: a loop that fails begins again."""
+        while True:
+            try:
+                await loop()
+            except Exception:
+                log.exception("a loop failed and begins again")
+                await trio.sleep(self._report_s / 2)
+
+    # -- what changes ------------------------------------------------------------------
+
+    def _wrote(self, ledger: int) -> None:
+        """We wrote: everybody should read, ourselves first."""
+        self._syncer.poke()
+        self._to_tell = max(self._to_tell, ledger)
+        self._tell.set()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = trio.Event()
+
+    def _on_job(self, uid: str) -> None:
+        for owner in self._owned.values():
+            owner.on_job(uid)
+
+    def _on_sync(self) -> None:
+        """The roles that the book gives us, under tokens not yet acted upon."""
+        now = trio.current_time()
+        if len(self._types) != len(self.book.types):
+            self._types = {
+                name: parse(record, MachineType) for name, record in self.book.types.items()
+            }
+        for part in range(self._settings.settings.nodes):
+            token = self._term.token_of(part)
+            owner = self._owned.get(part)
+            if owner is not None and owner.token != token:
+                log.info("part %d is no longer ours under token %d", part, owner.token)
+                del self._owned[part]
+                owner = None
+            if owner is None and token is not None:
+                log.info("owning part %d under token %d", part, token)
+                self._owned[part] = PartOwner(
+                    part, token, self.book, self._settings, lambda: self._types, now
+                )
+        token = self._term.leader_token
+        if self._leader is not None and self._leader.token != token:
+            self._leader = None
+        if self._leader is None and token is not None:
+            log.info("leading under token %d", token)
+            self._leader = Leader(token, self.book, self._settings, now)
+        self._wake()
+
+    async def _tell_peers(self) -> None:
+        while True:
+            await self._tell.wait()
+            self._tell = trio.Event()
+            message = to_wire(Poke(self._to_tell))
+            async with trio.open_nursery() as nursery:
+                for client in self._peers.values():
+                    nursery.start_soon(self._send, client, message)
+
+    async def _send(self, client: Client, message: list[object]) -> object:
+        try:
+            status, answer, _ = await client.request(
+                "POST", "/peer", message, timeout_s=self._report_s / 2
+            )
+        except Unreachable:
+            return None
+        return answer if status == 200 else None
+
+    # -- parts -----------------------------------------------------------------------------
+
+    async def _own_parts(self) -> None:
+        while True:
+            with trio.move_on_after(0.25):
+                await self._changed.wait()
+            now = trio.current_time()
+            if not self._term.valid(now):
+                await trio.sleep(0.05)
+                continue
+            for owner in self._owned.values():
+                owner.tick(now, time.time())
+            await trio.sleep(0.02)
+
+    async def _write_outcomes(self) -> None:
+        """Brings the shares in the book to what the owners have seen."""
+        limit = self._settings.settings.state.txn_ops
+        while True:
+            await trio.sleep(0.1)
+            for part, owner in list(self._owned.items()):
+                pending = list(owner.pending().items())
+                while pending:
+                    batch, pending = pending[:limit], pending[limit:]
+                    guards = {part_key(part): owner.token}
+                    changes: list[Put | Delete] = []
+                    for uid, share in batch:
+                        guards[share_key(uid, part)] = share.version
+                        changes.append(Put(share_key(uid, part), share.to_record()))
+                    try:
+                        self._wrote(await self._state.commit(guards, changes, timeout_s=1.0))
+                    except RETRY as error:
+                        log.debug("recording outcomes of part %d failed: %s", part, error)
+                        pending = []
+                        await trio.sleep(0.1)
+                    try:
+                        await self._syncer.fresh()
+                    except Unavailable:
+                        break
+
+    async def _report_parts(self) -> None:
+        """Shows the leader our parts and takes its orders."""
+        while True:
+            leader = self.book.leader
+            for owner in list(self._owned.values()):
+                now = trio.current_time()
+                if leader is None or not self._term.valid(now):
+                    continue
+                view = owner.view(self._settings.node_name, now)
+                samples = owner.take_samples()
+                for sample in samples:
+                    owner.estimates.add(sample.job_class, sample.count, sample.log_ratio_sum)
+                view = PartView(view.node, view.part, view.token, view.ledger, view.machines,
+                                samples)
+                orders: object = None
+                if leader.node == self._settings.node_name:
+                    if self._leader is not None:
+                        orders = self._leader.on_view(view, now)
+                elif (client := self._peers.get(leader.node)) is not None:
+                    answer = await self._send(client, to_wire(view))
+                    try:
+                        orders = None if answer is None else parse_message(answer)
+                    except Malformed as error:
+                        log.warning("a leader's answer cannot be read: %s", error)
+                if isinstance(orders, PartOrders):
+                    owner.gone(orders.gone)
+                    owner.retire(orders.retire)
+                    if orders.ledger > self.book.ledger:
+                        self._syncer.poke()
+            with trio.move_on_after(min(0.5, self._report_s / 4)):
+                await self._changed.wait()
+            await trio.sleep(min(0.15, self._report_s / 8))
+
+    async def _hand_over(self) -> None:
+        while True:
+            await trio.sleep(self._report_s)
+            for part, token in self._term.surplus():
+                owner = self._owned.get(part)
+                if owner is None or owner.leaving:
+                    continue  # what is over is written first
+                log.info("handing part %d over", part)
+                del self._owned[part]
+                try:
+                    await self._term.give_back(part, token)
+                except RETRY as error:
+                    log.info("handing part %d over: %s", part, error)
+
+    async def _handle_worker(self, body: bytes) -> Reply:
+        report = parse_report(decode(body))
+        now = trio.current_time()
+        part = part_of(report.machine, self._settings.settings.nodes)
+        owner = self._owned.get(part)
+        if owner is None:
+            other = self.book.parts.get(part)
+            if other is not None and other.node != self._settings.node_name:
+                return Reply(421, {"foreman": other.node})
+            return Reply(421, {})
+        if not self._term.valid(now):
+            return Reply(503, {"error": "no authority"})
+        if report.token > owner.token:
+            # Somebody else has taken the part over: nothing of ours counts there.
+            self._syncer.poke()
+            return Reply(421, {})
+        commands = owner.on_report(report, now)
+        self._wake()
+        return Reply(200, report_reply(owner.token, commands))
+
+    # -- leading ---------------------------------------------------------------------------
+
+    async def _lead(self) -> None:
+        while True:
+            with trio.move_on_after(0.5):
+                await self._changed.wait()
+            # Reports and writes come in flocks; one round serves them all.
+            await trio.sleep(0.05)
+            leader = self._leader
+            now = trio.current_time()
+            if leader is None or not self._term.valid(now):
+                continue
+            wanted = leader.round(now, time.time())
+            async with trio.open_nursery() as nursery:
+                if wanted.releases:
+                    nursery.start_soon(self._release, leader, wanted.releases)
+                for rental in wanted.rentals:
+                    nursery.start_soon(self._rent, leader, rental)
+                await self._allot(leader, wanted.allotments)
+
+    async def _allot(self, leader: Leader, allotments: dict[tuple[str, int], Share]) -> None:
+        todo = list(allotments.items())
+        limit = self._settings.settings.state.txn_ops
+        while todo:
+            batch, todo = todo[:limit], todo[limit:]
+            guards = {LEADER_KEY: leader.token}
+            changes: list[Put | Delete] = []
+            for (uid, part), share in batch:
+                job = self.book.jobs.get(uid)
+                if job is None or job.cancelled:
+                    continue
+                guards[job_key(uid)] = job.version
+                guards[share_key(uid, part)] = share.version
+                changes.append(Put(share_key(uid, part), share.to_record()))
+            if not changes:
+                continue
+            try:
+                self._wrote(await self._state.commit(guards, changes, timeout_s=1.0))
+            except Unknown:
+                # It may still be executed. A new version of the leader's own record
+                # makes sure that it is not executed after the next read.
+                log.info("an allotment's outcome is unknown: fencing it off")
+                await self._refence(leader)
+                return
+            except RETRY as error:
+                log.debug("allotting failed: %s", error)
+                todo = []
+            try:
+                await self._syncer.fresh()
+            except Unavailable:
+                return
+
+    async def _refence(self, leader: Leader) -> None:
+        while self._leader is leader:
+            try:
+                await self._term.renew_leader(leader.token)
+                await self._syncer.fresh()
+                return
+            except RETRY:
+                await trio.sleep(self._report_s / 5)
+                self._syncer.poke()
+
+    async def _rent(self, leader: Leader, rental: Rental) -> None:
+        rental = Rental(rental.type, rental.zone, rental.spot, min(rental.count, 50))
+        now = trio.current_time()
+        leader.renting(rental, now)
+        if not self._cloud_budget.try_take():
+            leader.not_executed(rental)
+            return
+        body = {
+            # Never used again, by us or another: a fresh random name.
+            "hire": f"{self._settings.node_name}-{secrets.token_hex(8)}",
+            "build": rental.type,
+            "district": rental.zone,
+            "loaners": rental.spot,
+            "count": rental.count,
+        }
+        try:
+            status, answer, _ = await self._cloud.request(
+                "POST", "/hosts", body, timeout_s=self._cloud_timeout_s
+            )
+        except Unreachable as error:
+            log.info("renting %s: outcome unknown: %s", rental, error)
+            return  # counted on until it shows in the list or surely does not
+        now = trio.current_time()
+        if status == 200:
+            names = parse(answer, Rented).machines
+            log.info("rented %d of %s", len(names), rental)
+            leader.rented(rental, names, now)
+        elif status == 503 and isinstance(answer, dict) and answer.get("error") == "no capacity":
+            leader.refused(rental, now, settle=True)
+        else:
+            log.info("renting %s: status %d", rental, status)
+            leader.not_executed(rental)
+
+    async def _release(self, leader: Leader, names: list[str]) -> None:
+        if not self._cloud_budget.try_take():
+            return
+        try:
+            status, _, _ = await self._cloud.request(
+                "POST", "/hosts/release", {"hosts": names}, timeout_s=self._cloud_timeout_s
+            )
+        except Unreachable as error:
+            log.info("releasing %s: outcome unknown: %s", names, error)
+            return
+        if status == 200:
+            log.info("released %s", ", ".join(names))
+            leader.released(names, trio.current_time())
+
+    @property
+    def _cloud_timeout_s(self) -> float:
+        return max(3.0, self._settings.settings.workers.lease_s / 4)
+
+    async def _watch_catalog(self) -> None:
+        """Prices for the leader; the types themselves for all, through the book."""
+        while True:
+            pause = self._report_s
+            if self._leader is not None and self._term.valid(trio.current_time()):
+                try:
+                    await self._cloud_budget.take()
+                    status, answer, _ = await self._cloud.request(
+                        "GET", "/catalog", timeout_s=self._cloud_timeout_s
+                    )
+                    if status == 200:
+                        types = {t.name: t for t in parse(answer, Catalog).types}
+                        if self._leader is not None:
+                            self._leader.types = types
+                        await self._publish_types(answer["builds"])
+                        pause = 2 * self._settings.settings.workers.lease_s
+                except (Unreachable, Malformed, *RETRY) as error:
+                    log.info("reading the catalogue failed: %s", error)
+            await trio.sleep(pause)
+
+    async def _publish_types(self, records: list[dict[str, object]]) -> None:
+        """Written when types appear: prices move, but what fits where does not."""
+        new = [r for r in records if r["label"] not in self.book.types]
+        limit = self._settings.settings.state.txn_ops
+        for start in range(0, len(new), limit):
+            changes: list[Put | Delete] = [
+                Put(f"r/c/{r['label']}", r) for r in new[start : start + limit]
+            ]
+            self._wrote(await self._state.commit({}, changes, timeout_s=1.0))
+
+    async def _watch_fleet(self) -> None:
+        while True:
+            await trio.sleep(max(1.0, self._settings.settings.cloud.list_lag_s / 4))
+            leader = self._leader
+            if leader is None or not self._term.valid(trio.current_time()):
+                continue
+            try:
+                machines = await self._list_machines()
+            except (Unreachable, Malformed) as error:
+                log.debug("listing machines failed: %s", error)
+                continue
+            if machines is not None:
+                leader.on_list(machines, trio.current_time())
+
+    async def _list_machines(self) -> list[ListedMachine] | None:
+        machines: list[ListedMachine] = []
+        target = "/hosts?page=500"
+        while True:
+            await self._cloud_budget.take()
+            status, answer, _ = await self._cloud.request(
+                "GET", target, timeout_s=self._cloud_timeout_s
+            )
+            if status != 200:
+                return None
+            page = parse(answer, MachinePage)
+            machines += page.machines
+            if not page.more or not page.machines:
+                return machines
+            target = f"/hosts?since={page.machines[-1].name}&page=500"
+
+    # -- servers -----------------------------------------------------------------------------
+
+    async def _handle_public(self, method: str, target: str, body: bytes) -> Reply:
+        if method == "POST" and target == "/checkin":
+            return await self._handle_worker(body)
+        if target == "/healthz":
+            if not self._syncer.ready.is_set():
+                return Reply(503, {"error": "starting"}, 1.0)
+            return Reply(200, {"status": "ok"})
+        if not self._syncer.ready.is_set():
+            return Reply(503, {"error": "starting"}, 1.0)
+        return await self._front.handle(method, target, body)
+
+    async def _handle_peer(self, method: str, target: str, body: bytes) -> Reply:
+        if (method, target) != ("POST", "/peer"):
+            return Reply(404, {"error": "no such path"})
+        message = parse_message(decode(body))
+        match message:
+            case Poke(ledger=ledger):
+                if ledger > self.book.ledger:
+                    self._syncer.poke()
+                return Reply(200, ["ok"])
+            case PartView(ledger=ledger):
+                if ledger > self.book.ledger:
+                    self._syncer.poke()
+                leader = self._leader
+                if leader is None:
+                    return Reply(503, ["not leading"])
+                orders = leader.on_view(message, trio.current_time())
+                self._wake()
+                return Reply(200, to_wire(orders))
+        return Reply(400, ["unexpected"])
--- /dev/null
+++ b/ryegauge/coordination/part.py
@@ -0,0 +1,483 @@
+"""The owner of one part: its machines' reports, its tasks and the commands.
+
+No I/O and no clock: `now` is passed in. One object lives for one token; a controller
+that takes the part over under a higher token begins with a new one, which knows
+nothing of the machines and finds out from their reports.
+"""
+
+import math
+from collections.abc import Callable, Iterable
+from typing import Literal
+
+from ryegauge.bookkeeping.jobbook import Job, JobBook, Share
+from ryegauge.bookkeeping.ranges import Ranges
+from ryegauge.config import CLOCK_DRIFT, Settings
+from ryegauge.coordination.needs import latest_finish, make_need
+from ryegauge.protocol.cloud import MachineType
+from ryegauge.protocol.peers import MachineView, PartView, RunSample
+from ryegauge.protocol.workers import (
+    Command,
+    Forget,
+    Kill,
+    Report,
+    Run,
+    TaskKey,
+    TaskReport,
+    task_key,
+)
+from ryegauge.scheduling.estimates import Estimates
+from ryegauge.scheduling.planner import Room, place, whole_room
+
+# unseen: allotted before this token; may run on a machine not heard from yet.
+# free: on no machine for certain. placed: its `run` is wanted, never reported.
+# seen: reported alive. leaving: over or handed back; waits to be written.
+Phase = Literal["unseen", "free", "placed", "seen", "leaving"]
+
+
+class Task:
+    __slots__ = (
+        "attempt", "done", "errors", "key", "machine", "not_before", "phase",
+        "running_since", "sent", "withdrawn", "zone",
+    )
+
+    def __init__(self, key: TaskKey, zone: str, phase: Phase) -> None:
+        self.key = key
+        self.zone = zone
+        self.phase: Phase = phase
+        self.machine: str | None = None
+        self.attempt = 0
+        self.sent = False  # a `run` of this attempt was given
+        self.withdrawn = False  # must not run (any more): cancelled, or its machine goes
+        self.running_since: float | None = None
+        self.not_before = 0.0
+        self.done = False
+        self.errors: set[str] = set()  # machines on which it failed
+
+
+class Machine:
+    __slots__ = (
+        "alive", "heard_at", "idle_since", "images", "name", "notice_at", "retiring", "spot",
+        "stamp", "strikes", "tasks", "trusted", "type", "zone",
+    )
+
+    def __init__(self, report: Report, now: float) -> None:
+        self.name = report.machine
+        self.type = report.type
+        self.zone = report.zone
+        self.spot = report.spot
+        self.trusted = False  # has reported under this token
+        self.stamp = (0, 0)
+        self.heard_at = now
+        self.notice_at: float | None = None  # when the cloud takes it away
+        self.retiring = False
+        self.strikes = 0
+        self.idle_since = now
+        self.images: dict[str, float] = {}  # presumed cached, most recently used last
+        self.tasks: set[TaskKey] = set()  # tasks whose place this is
+        self.alive: dict[tuple[TaskKey, int], TaskReport] = {}  # as last reported
+
+
+class PartOwner:
+    def __init__(
+        self,
+        part: int,
+        token: int,
+        book: JobBook,
+        settings: Settings,
+        types: Callable[[], dict[str, MachineType]],
+        now: float,
+    ) -> None:
+        self.part = part
+        self.token = token
+        self._book = book
+        self._settings = settings
+        self._types = types
+        # A worker's lease runs out, for certain, this long after its report came in.
+        self.lease_s = settings.settings.workers.lease_s * (1 + 4 * CLOCK_DRIFT) + 0.1
+        # By then whatever the earlier authority commanded has reported here or lost
+        # its lease: it could last answer before this token existed.
+        self._barrier_at = now + self.lease_s
+        self.machines: dict[str, Machine] = {}
+        self._stamps: dict[str, tuple[float, float]] = {}  # of machines given up
+        self.tasks: dict[TaskKey, Task] = {}
+        self._by_job: dict[str, set[TaskKey]] = {}
+        self._attempts = token << 20
+        self._free: set[TaskKey] = set()
+        self._unseen: set[TaskKey] = set()
+        self.leaving: set[TaskKey] = set()
+        self.estimates = Estimates()
+        self._samples: dict[str, tuple[int, float]] = {}
+        self._failures: dict[str, set[str]] = {}  # job -> machines it failed on, until one succeeds
+        for uid in list(book.jobs):
+            self._reconcile(uid, "unseen")
+
+    # -- what the book says -------------------------------------------------------
+
+    def on_job(self, uid: str) -> None:
+        self._reconcile(uid, "free")
+
+    def _reconcile(self, uid: str, phase: Phase) -> None:
+        job = self._book.jobs.get(uid)
+        share = job.shares.get(self.part) if job is not None else None
+        known = self._by_job.get(uid)
+        if share is None and not known:
+            return
+        wanted: set[TaskKey] = set()
+        if share is not None:
+            for zone, ranges in share.allotted.items():
+                for index in ranges:
+                    key = (uid, index)
+                    wanted.add(key)
+                    if key not in self.tasks:
+                        self.tasks[key] = Task(key, zone, phase)
+                        (self._free if phase == "free" else self._unseen).add(key)
+        for key in (known or set()) - wanted:
+            self._drop(key)
+        if wanted:
+            self._by_job[uid] = wanted
+        else:
+            self._by_job.pop(uid, None)
+            self._failures.pop(uid, None)
+        if job is not None and job.cancelled:
+            for key in wanted:
+                self._withdraw(self.tasks[key])
+
+    def _drop(self, key: TaskKey) -> None:
+        """The record no longer gives us the task: only written once it was over."""
+        task = self.tasks.pop(key)
+        for keys in (self._free, self._unseen, self.leaving):
+            keys.discard(key)
+        if task.machine is not None and (m := self.machines.get(task.machine)) is not None:
+            m.tasks.discard(key)
+
+    # -- tasks -----------------------------------------------------------------------
+
+    def _withdraw(self, task: Task) -> None:
+        task.withdrawn = True
+        if task.phase == "free":
+            self._leave(task, done=False)
+        elif task.phase == "placed" and not task.sent:
+            self._end(task)
+
+    def _leave(self, task: Task, *, done: bool) -> None:
+        """From here on the task is never placed by us again: writing may already be
+        under way, with an unknown outcome, and the leader may give it to others."""
+        self._free.discard(task.key)
+        self._unseen.discard(task.key)
+        task.phase = "leaving"
+        task.done = task.done or done
+        self.leaving.add(task.key)
+
+    def _end(self, task: Task) -> None:
+        """Its attempt is over for certain; the task itself is not."""
+        if task.machine is not None and (m := self.machines.get(task.machine)) is not None:
+            m.tasks.discard(task.key)
+        task.machine, task.sent, task.running_since = None, False, None
+        if task.phase == "leaving":
+            return
+        if task.withdrawn:
+            self._leave(task, done=False)
+        else:
+            task.phase = "free"
+            self._free.add(task.key)
+
+    def _finish(self, task: Task, machine: Machine, now: float) -> None:
+        machine.tasks.discard(task.key)
+        machine.strikes = 0
+        job = self._book.jobs.get(task.key[0])
+        if job is not None and task.running_since is not None and job.spec.estimate_s > 0:
+            took = max(0.1, now - task.running_since)
+            ratio = math.log(took / job.spec.estimate_s)
+            count, total = self._samples.get(job.spec.job_class, (0, 0.0))
+            self._samples[job.spec.job_class] = (count + 1, total + ratio)
+        self._failures.pop(task.key[0], None)
+        task.machine = None
+        self._leave(task, done=True)
+
+    def _fail(self, task: Task, machine: Machine, now: float) -> None:
+        """A task failed. A machine that fails tasks of jobs which run elsewhere is
+        faulty; a job that fails on several machines and succeeded on none is at fault
+        itself, and is retried ever more slowly without blame for the machines."""
+        task.errors.add(machine.name)
+        failed_on = self._failures.setdefault(task.key[0], set())
+        failed_on.add(machine.name)
+        if len(failed_on) <= 2:
+            machine.strikes += 1
+        report_s = self._settings.settings.workers.report_s
+        task.not_before = now + min(60.0, report_s * 2 ** len(task.errors)) - report_s
+
+    # -- reports --------------------------------------------------------------------
+
+    def on_report(self, report: Report, now: float) -> list[Command]:
+        """Takes a report in; the commands go into its answer."""
+        stamp = (report.session, report.seq)
+        machine = self.machines.get(report.machine)
+        if stamp <= self._stamps.get(report.machine, (0, 0)):
+            # Sent in a session that has surely ended: a late delivery.
+            return []
+        if machine is None:
+            machine = self.machines[report.machine] = Machine(report, now)
+        # Whatever is answered may renew the lease, so it counts as heard.
+        machine.heard_at = now
+        if report.token < self.token:
+            # Sent before the worker saw this token: it may still have been given
+            # commands by an earlier authority. The answer shows it the token.
+            return []
+        if machine.trusted and stamp <= machine.stamp:
+            return []
+        new_session = machine.trusted and report.session != machine.stamp[0]
+        machine.stamp = stamp
+        machine.trusted = True
+        machine.notice_at = None if report.notice_s is None else now + report.notice_s
+        reported = {(task_key(t.task), t.attempt): t for t in report.tasks}
+        self._missing(machine, reported, new_session)
+        machine.alive = {k: t for k, t in reported.items() if t.state != "ended"}
+        commands: list[Command] = []
+        for (key, attempt), entry in reported.items():
+            self._reported(machine, key, attempt, entry, now, commands)
+        for key in sorted(machine.tasks):
+            task = self.tasks[key]
+            if task.phase == "placed" and not task.withdrawn and not machine.retiring:
+                task.sent = True
+                commands.append(Run(key, task.attempt))
+        if machine.tasks or machine.alive:
+            machine.idle_since = now
+        return commands
+
+    def _missing(
+        self, machine: Machine, reported: dict[tuple[TaskKey, int], TaskReport], new_session: bool
+    ) -> None:
+        """Tasks of ours that the report does not list. One that was listed before, or
+        belonged to an earlier session, is gone. One never listed was not started: the
+        worker has one report in flight, so this one is newer than whatever became of
+        the answer with the `run`."""
+        for key in list(machine.tasks):
+            task = self.tasks[key]
+            if (key, task.attempt) in reported:
+                continue
+            if task.phase == "seen" or new_session or task.withdrawn or machine.retiring:
+                self._end(task)
+
+    def _reported(
+        self, machine: Machine, key: TaskKey, attempt: int, entry: TaskReport, now: float,
+        commands: list[Command],
+    ) -> None:
+        task = self.tasks.get(key)
+        if (
+            task is not None
+            and task.phase == "unseen"
+            and (entry.state != "ended" or entry.why == "done")
+        ):
+            # The earlier authority started it here. (An attempt that ended otherwise
+            # proves nothing: a later one may be elsewhere.)
+            self._unseen.discard(key)
+            task.phase, task.machine, task.attempt, task.sent = "seen", machine.name, attempt, True
+            machine.tasks.add(key)
+        mine = task is not None and task.machine == machine.name and task.attempt == attempt
+        if entry.state == "ended":
+            if task is None:
+                # The record no longer has it with us: its outcome is durable.
+                commands.append(Forget(key, attempt))
+            elif mine and entry.why == "done":
+                self._finish(task, machine, now)
+            elif mine:
+                if entry.why == "error" and not task.withdrawn:
+                    self._fail(task, machine, now)
+                if entry.why == "unknown":
+                    task.not_before = now + self._settings.settings.workers.report_s
+                self._end(task)
+                commands.append(Forget(key, attempt))
+            elif entry.why == "done":
+                if task.phase == "free":
+                    self._leave(task, done=True)
+                # Kept until the outcome is durable: then the task leaves our record.
+            else:
+                commands.append(Forget(key, attempt))
+            return
+        if task is None or not mine:
+            commands.append(Kill(key, attempt, 0.0))
+            return
+        task.phase = "seen"
+        job = self._book.jobs.get(key[0])
+        if job is not None:
+            self._cache(machine, job.spec.image, job.spec.image_gb)
+        if entry.state == "running" and task.running_since is None:
+            task.running_since = now
+        if task.withdrawn:
+            commands.append(Kill(key, attempt, 0.0))
+
+    def _cache(self, machine: Machine, image: str, gb: float) -> None:
+        machine.images.pop(image, None)
+        machine.images[image] = gb
+        type_ = self._types().get(machine.type)
+        cache_gb = math.inf if type_ is None else type_.cache_gb
+        while sum(machine.images.values()) > cache_gb and len(machine.images) > 1:
+            del machine.images[next(iter(machine.images))]
+
+    # -- time ---------------------------------------------------------------------------
+
+    def gone(self, names: Iterable[str]) -> None:
+        """Released with certainty: nothing is on them any more."""
+        for name in names:
+            machine = self.machines.pop(name, None)
+            if machine is not None:
+                self._stamps[name] = (math.inf, math.inf)
+                for key in list(machine.tasks):
+                    self._end(self.tasks[key])
+
+    def retire(self, names: Iterable[str]) -> None:
+        for name in names:
+            if (machine := self.machines.get(name)) is not None:
+                machine.retiring = True
+                for key in list(machine.tasks):
+                    task = self.tasks[key]
+                    if task.phase == "placed" and not task.sent:
+                        self._end(task)
+
+    def tick(self, now: float, wall: float) -> None:
+        for machine in list(self.machines.values()):
+            if now > machine.heard_at + self.lease_s:
+                # Its lease has run out: it killed everything and begins a new session.
+                for key in list(machine.tasks):
+                    self._end(self.tasks[key])
+                self._stamps[machine.name] = (machine.stamp[0], math.inf)
+                del self.machines[machine.name]
+        # A machine that was answered but has not reported under this token yet had
+        # its lease renewed, with whatever is on it.
+        if (
+            self._unseen
+            and now > self._barrier_at
+            and all(m.trusted for m in self.machines.values())
+        ):
+            for key in list(self._unseen):
+                self._unseen.discard(key)
+                self._end(self.tasks[key])
+        self._place(now, wall)
+
+    def _rooms(self, now: float) -> list[Room]:
+        rooms: list[Room] = []
+        types = self._types()
+        for machine in self.machines.values():
+            type_ = types.get(machine.type)
+            if type_ is None or not self._takes_tasks(machine, now):
+                continue
+            room = whole_room(type_, machine.name, machine.zone, machine.spot, self.part)
+            room.images = set(machine.images)
+            for key in self._occupants(machine):
+                job = self._book.jobs.get(key[0])
+                if job is None:
+                    room.cpus = -1.0  # something unknown runs here: leave it alone
+                    break
+                room.cpus -= job.spec.cpus
+                room.memory_gb -= job.spec.memory_gb
+                room.gpus -= job.spec.gpus
+            if room.cpus > 0:
+                rooms.append(room)
+        return rooms
+
+    def _occupants(self, machine: Machine) -> set[TaskKey]:
+        return machine.tasks | {key for key, _ in machine.alive}
+
+    def _takes_tasks(self, machine: Machine, now: float) -> bool:
+        silent = now - machine.heard_at
+        return (
+            machine.trusted
+            and not machine.retiring
+            and machine.notice_at is None
+            and machine.strikes < 2
+            and silent < 2 * self._settings.report_gap_s
+        )
+
+    def _place(self, now: float, wall: float) -> None:
+        if not self._free:
+            return
+        rooms = self._rooms(now)
+        groups: dict[tuple[str, str], list[TaskKey]] = {}
+        for key in sorted(self._free):
+            task = self.tasks[key]
+            if task.not_before <= now:
+                groups.setdefault((key[0], task.zone), []).append(key)
+        objectives = self._settings.settings.objectives
+        for (uid, zone), keys in groups.items():
+            job = self._book.jobs[uid]
+            zones = {zone: len(keys)} if zone else None
+            need = make_need(job, len(keys), zones, self.estimates,
+                             latest_finish(job, objectives))
+            avoid = set().union(*(self.tasks[key].errors for key in keys))
+            open_rooms = [room for room in rooms if room.name not in avoid] if avoid else rooms
+            queue = iter(keys)
+            # The leader has decided between kinds of machine by giving the task here.
+            for room, count in place(need, open_rooms, steady_only=False):
+                for _ in range(count):
+                    self._start(self.tasks[next(queue)], room.name)
+            for key in queue:
+                # No room after all: others may have some.
+                self._leave(self.tasks[key], done=False)
+
+    def _start(self, task: Task, machine: str) -> None:
+        self._attempts += 1
+        self._free.discard(task.key)
+        task.phase, task.machine, task.attempt = "placed", machine, self._attempts
+        task.sent = False
+        self.machines[machine].tasks.add(task.key)
+
+    # -- what is to be written and told -----------------------------------------------
+
+    def pending(self) -> dict[str, Share]:
+        """The shares as they should be, by job, where they differ from the book."""
+        leaving: dict[str, list[Task]] = {}
+        for key in self.leaving:
+            leaving.setdefault(key[0], []).append(self.tasks[key])
+        result: dict[str, Share] = {}
+        for uid, tasks in leaving.items():
+            job: Job | None = self._book.jobs.get(uid)
+            if job is None or (share := job.shares.get(self.part)) is None:
+                continue
+            out = Ranges.of(t.key[1] for t in tasks)
+            done = Ranges.of(t.key[1] for t in tasks if t.done)
+            allotted = {zone: r - out for zone, r in share.allotted.items()}
+            result[uid] = Share(allotted, share.done | done, share.version)
+        return result
+
+    def take_samples(self) -> list[RunSample]:
+        samples = [RunSample(name, n, total) for name, (n, total) in self._samples.items()]
+        self._samples.clear()
+        return samples
+
+    def view(self, node: str, now: float) -> PartView:
+        machines: list[MachineView] = []
+        for m in self.machines.values():
+            by_job: dict[str, list[TaskKey]] = {}
+            for key in self._occupants(m):
+                by_job.setdefault(key[0], []).append(key)
+            tasks = [
+                (uid, Ranges.of(k[1] for k in keys).flat(), self._left_s(uid, keys, now))
+                for uid, keys in by_job.items()
+            ]
+            machines.append(
+                MachineView(
+                    name=m.name,
+                    type=m.type,
+                    zone=m.zone,
+                    spot=m.spot,
+                    open=self._takes_tasks(m, now),
+                    empty=m.trusted and not tasks,
+                    silent_s=now - m.heard_at,
+                    notice=m.notice_at is not None,
+                    retiring=m.retiring or m.strikes >= 2,
+                    images=list(m.images),
+                    tasks=tasks,
+                )
+            )
+        return PartView(node, self.part, self.token, self._book.ledger, machines)
+
+    def _left_s(self, uid: str, keys: list[TaskKey], now: float) -> float:
+        job = self._book.jobs.get(uid)
+        if job is None:
+            return 0.0
+        run_s = self.estimates.run_s(job.spec.job_class, job.spec.estimate_s)
+        started = [
+            now if (t := self.tasks.get(k)) is None or t.running_since is None else t.running_since
+            for k in keys
+        ]
+        return max(0.0, run_s - (now - max(started)))
--- /dev/null
+++ b/ryegauge/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""What is said on the wire; its names end here."""
--- /dev/null
+++ b/ryegauge/protocol/peers.py
@@ -0,0 +1,79 @@
+"""What controllers tell each other: CBOR lists, each led by its tag.
+
+These are hints and views; whatever safety rests on is in the state service.
+"""
+
+from typing import Any
+
+import msgspec
+
+from ryegauge.transport.http import Malformed
+
+
+class MachineView(msgspec.Struct, frozen=True, array_like=True):
+    """One machine as its part's owner sees it."""
+
+    name: str
+    type: str
+    zone: str
+    spot: bool
+    # May be given new tasks: reports in time, no notice, not being returned.
+    open: bool
+    # Nothing is on it or may be on it.
+    empty: bool
+    # Seconds since its last report.
+    silent_s: float
+    notice: bool
+    retiring: bool
+    images: list[str]
+    # (uid, task indices as ranges, seconds that the longest still needs)
+    tasks: list[tuple[str, list[int], float]]
+
+
+class RunSample(msgspec.Struct, frozen=True, array_like=True):
+    """Completed run times of a class of jobs, against their estimates."""
+
+    job_class: str
+    count: int
+    log_ratio_sum: float
+
+
+class PartView(msgspec.Struct, frozen=True, array_like=True, tag="part"):
+    node: str
+    part: int
+    token: int
+    # The revision of the state service that this view has taken in.
+    ledger: int
+    machines: list[MachineView]
+    samples: list[RunSample] = []
+
+
+class Poke(msgspec.Struct, frozen=True, array_like=True, tag="poke"):
+    """Something was written up to this revision; read it soon."""
+
+    ledger: int
+
+
+class PartOrders(msgspec.Struct, frozen=True, array_like=True, tag="orders"):
+    """The leader's answer to a PartView."""
+
+    ledger: int
+    # Take no new tasks onto these: they are to be returned once empty.
+    retire: list[str]
+    # Released with certainty: nothing is on them any more.
+    gone: list[str]
+
+
+Message = PartView | Poke | PartOrders
+
+
+def parse_message(raw: Any) -> Message:
+    try:
+        return msgspec.convert(raw, Message)
+    except msgspec.ValidationError as error:
+        raise Malformed(str(error)) from None
+
+
+def to_wire(message: Message) -> list[Any]:
+    result: list[Any] = msgspec.to_builtins(message)
+    return result
--- /dev/null
+++ b/ryegauge/scheduling/__init__.py
@@ -0,0 +1,1 @@
+"""The planner: pure functions from a snapshot to decisions."""
--- /dev/null
+++ b/ryegauge/scheduling/planner.py
@@ -0,0 +1,245 @@
+"""The ECPTR planner: what runs where, what to rent and what to return.
+
+Pure functions of a snapshot and the time. Task, machine and rental names follow the
+paper: LTO is the latest time to turn to steady machines, EFT and LFT the earliest
+and latest finish. Jobs here are sets of independent tasks, so the critical path of
+a job is the longest remaining task on the type at hand, with its image fetch.
+"""
+
+import math
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+
+from ryegauge.protocol.cloud import MachineType
+
+EPSILON = 1e-6
+
+
+@dataclass(slots=True)
+class Room:
+    """A machine's free room; `ready_s` is 0 if it runs, else the time until it may."""
+
+    name: str
+    type: MachineType
+    zone: str
+    spot: bool
+    part: int
+    cpus: float
+    memory_gb: float
+    gpus: float
+    images: set[str] = field(default_factory=set)
+    ready_s: float = 0.0
+    used: bool = False
+
+    def fits(self, need: "Need") -> int:
+        """How many of the need's tasks still fit."""
+        return _fit(need, self.cpus, self.memory_gb, self.gpus)
+
+    def take(self, need: "Need", count: int) -> None:
+        self.cpus -= need.cpus * count
+        self.memory_gb -= need.memory_gb * count
+        self.gpus -= need.gpus * count
+        self.images.add(need.image)
+        self.used = True
+
+
+def whole_room(type_: MachineType, name: str, zone: str, spot: bool, part: int = -1) -> Room:
+    return Room(name, type_, zone, spot, part, type_.cpus, type_.memory_gb, type_.gpus)
+
+
+@dataclass(slots=True)
+class Need:
+    """Tasks of one job that wait for a place."""
+
+    uid: str
+    count: int
+    cpus: float
+    memory_gb: float
+    gpus: float
+    image: str
+    image_gb: float
+    spot_ok: bool
+    service: bool
+    run_s: float
+    # Latest finish, in the clock of `now`; infinite without any deadline.
+    latest_finish: float
+    types: frozenset[str] | None = None
+    # Zones allowed and how many tasks each may still take; None: any number anywhere.
+    zones: dict[str, int] | None = None
+    # All tasks in one zone, not yet chosen.
+    one_zone: bool = False
+
+    def path_s(self, type_: MachineType, cached: bool = False) -> float:
+        """The critical path on a type: the fetch and the longest remaining task."""
+        fetch = 0.0 if cached or not self.image_gb else self.image_gb / type_.fetch_gb_per_s
+        return self.run_s + fetch
+
+
+@dataclass(slots=True, frozen=True)
+class Placement:
+    uid: str
+    count: int
+    machine: str
+    part: int
+    zone: str
+
+
+@dataclass(slots=True, frozen=True)
+class Rental:
+    type: str
+    zone: str
+    spot: bool
+    count: int
+
+
+@dataclass(slots=True)
+class Plan:
+    placements: list[Placement] = field(default_factory=list)
+    rentals: list[Rental] = field(default_factory=list)
+    # Machines that the plan counts on, starting ones included.
+    used: set[str] = field(default_factory=set)
+
+
+def _fit(need: Need, cpus: float, memory_gb: float, gpus: float) -> int:
+    n = math.inf
+    if need.cpus > 0:
+        n = min(n, (cpus + EPSILON) // need.cpus)
+    if need.memory_gb > 0:
+        n = min(n, (memory_gb + EPSILON) // need.memory_gb)
+    if need.gpus > 0:
+        n = min(n, (gpus + EPSILON) // need.gpus)
+    return int(min(n, need.count))
+
+
+def allowed(need: Need, type_name: str, zone: str, spot: bool) -> bool:
+    return (
+        (need.types is None or type_name in need.types)
+        and (need.zones is None or need.zones.get(zone, 0) > 0)
+        and (need.spot_ok or not spot)
+    )
+
+
+def latest_to_steady(need: Need, types: Iterable[MachineType]) -> float:
+    """LTO = D - CP, with the path on the slowest allowed type (Algorithm 1, line 8)."""
+    paths = [need.path_s(t) for t in types if need.types is None or t.name in need.types]
+    return need.latest_finish - max(paths, default=need.run_s)
+
+
+def place(need: Need, rooms: list[Room], *, steady_only: bool) -> list[tuple[Room, int]]:
+    """Takes room for as much of the need as fits (FindFreeSlot and FindRunningVM).
+
+    The earliest completion comes first, which among machines alike means the image
+    is there already; of those, the fullest, so that others run empty.
+    """
+    taken: list[tuple[Room, int]] = []
+    candidates = [
+        (room.ready_s + need.path_s(room.type, need.image in room.images), room.cpus, i, room)
+        for i, room in enumerate(rooms)
+        if not (steady_only and room.spot)
+        and room.cpus + EPSILON >= need.cpus
+        and allowed(need, room.type.name, room.zone, room.spot)
+        and room.fits(need) > 0
+    ]
+    if need.one_zone and candidates:
+        zone = _best_zone(need, [c[3] for c in candidates])
+        candidates = [c for c in candidates if c[3].zone == zone]
+    candidates.sort(key=lambda c: c[:3])
+    for _, _, _, room in candidates:
+        if need.count <= 0:
+            break
+        n = room.fits(need)
+        if need.zones is not None:
+            n = min(n, need.zones.get(room.zone, 0))
+        if n <= 0:
+            continue
+        room.take(need, n)
+        need.count -= n
+        if need.zones is not None:
+            need.zones[room.zone] -= n
+        if need.one_zone:
+            need.one_zone = False
+            need.zones = {room.zone: need.count}
+        taken.append((room, n))
+    return taken
+
+
+def _best_zone(need: Need, rooms: list[Room]) -> str:
+    fitting: dict[str, int] = {}
+    for room in rooms:
+        fitting[room.zone] = fitting.get(room.zone, 0) + room.fits(need)
+    return max(sorted(fitting), key=lambda zone: fitting[zone])
+
+
+@dataclass(slots=True)
+class Market:
+    """What can be rented and how the spot machines have fared."""
+
+    types: dict[str, MachineType]
+    # (type, zone, spot) refused of late.
+    refused: set[tuple[str, str, bool]]
+    takeback_share: float
+    takeback_threshold: float
+
+
+def plan(needs: list[Need], running: list[Room], starting: list[Room], market: Market,
+         now: float) -> Plan:
+    """One round, needs in their order of precedence."""
+    result = Plan()
+    rented: dict[tuple[str, str, bool], int] = {}
+    coming = list(starting)
+    for need in needs:
+        slack = latest_to_steady(need, market.types.values()) - now
+        ahead = slack > 0 and not need.service
+        for room, count in place(need, running, steady_only=not ahead):
+            result.placements.append(Placement(need.uid, count, room.name, room.part, room.zone))
+        if need.count <= 0:
+            continue
+        boot_s = max((t.boot_s for t in market.types.values()), default=0.0)
+        spot = (
+            ahead
+            and need.spot_ok
+            and slack - boot_s > 0
+            and market.takeback_share < market.takeback_threshold
+        )
+        # What is on its way already is rented for someone; room that is left serves.
+        place(need, coming, steady_only=not ahead)
+        while need.count > 0:
+            room_type = _choose(need, market, spot, now)
+            if room_type is None:
+                break
+            type_, zone = room_type
+            key = (type_.name, zone, spot)
+            rented[key] = rented.get(key, 0) + 1
+            room = whole_room(type_, f"new-{len(coming)}", zone, spot)
+            room.ready_s = type_.boot_s
+            coming.append(room)
+            if not place(need, [room], steady_only=False):
+                break
+    result.rentals = [Rental(t, z, s, n) for (t, z, s), n in rented.items()]
+    result.used = {room.name for room in (*running, *coming) if room.used}
+    return result
+
+
+def _choose(
+    need: Need, market: Market, spot: bool, now: float
+) -> tuple[MachineType, str] | None:
+    """FindCostPerfEffectiveVM: of the types that meet the deadline (all, if none
+    does), the lowest path time times price for all the tasks that wait."""
+    best: tuple[tuple[bool, float, float, str, str], MachineType, str] | None = None
+    for type_ in market.types.values():
+        n = _fit(need, type_.cpus, type_.memory_gb, type_.gpus)
+        if n <= 0:
+            continue
+        for zone in type_.zones:
+            if (type_.name, zone, spot) in market.refused:
+                continue
+            if not allowed(need, type_.name, zone, spot):
+                continue
+            path = type_.boot_s + need.path_s(type_)
+            late = now + path > need.latest_finish
+            machines = math.ceil(need.count / n)
+            cost = machines * type_.price_of(spot) * path
+            key = (late, cost, path, type_.name, zone)
+            if best is None or key < best[0]:
+                best = (key, type_, zone)
+    return None if best is None else (best[1], best[2])
--- /dev/null
+++ b/ryegauge/transport/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP over trio streams, and CBOR bodies."""
--- /dev/null
+++ b/ryegauge/transport/http.py
@@ -0,0 +1,248 @@
+"""HTTP/1.1 with CBOR bodies: h11 over trio streams, for servers and clients."""
+
+import io
+import logging
+import math
+from collections import deque
+from collections.abc import Awaitable, Callable
+from typing import Any, NamedTuple
+
+import cbor2
+import h11
+import trio
+
+log = logging.getLogger(__name__)
+
+BODY_LIMIT = 64 * 1024
+CHUNK = 16 * 1024
+
+
+class Malformed(Exception):
+    """A body that is not the CBOR that the protocol allows."""
+
+
+class Unreachable(Exception):
+    """No usable answer came; whether the request was executed is unknown."""
+
+
+class Reply(NamedTuple):
+    status: int
+    body: Any = None
+    retry_after_s: float | None = None
+
+
+Handler = Callable[[str, str, bytes], Awaitable[Reply]]
+
+
+def decode(data: bytes) -> Any:
+    stream = io.BytesIO(data)
+    try:
+        value = cbor2.CBORDecoder(stream).decode()
+    except Exception as error:  # the decoder lets several kinds through on hostile input
+        raise Malformed(str(error)) from None
+    if stream.tell() != len(data) and stream.read(1):
+        raise Malformed("more follows the first value")
+    return value
+
+
+encode = cbor2.dumps
+
+
+class Server:
+    """Serves one address; a broken or slow connection costs only itself."""
+
+    def __init__(
+        self, handler: Handler, *, max_connections: int, idle_s: float, request_s: float
+    ) -> None:
+        self._handler = handler
+        self._free = max_connections
+        self._idle_s = idle_s
+        self._request_s = request_s
+
+    async def serve(self, host: str, port: int) -> None:
+        listeners = await trio.open_tcp_listeners(port, host=host, backlog=256)
+        await trio.serve_listeners(self._connection, listeners)
+
+    async def _connection(self, stream: trio.SocketStream) -> None:
+        if self._free <= 0:
+            # Sockets are kept for the controller's own calls: a flood is shed here.
+            await trio.aclose_forcefully(stream)
+            return
+        self._free -= 1
+        try:
+            await self._requests(stream)
+        except (trio.BrokenResourceError, trio.ClosedResourceError, OSError):
+            pass
+        except Exception:
+            log.exception("a connection ended by an internal error")
+        finally:
+            self._free += 1
+            await trio.aclose_forcefully(stream)
+
+    async def _requests(self, stream: trio.SocketStream) -> None:
+        conn = h11.Connection(h11.SERVER, max_incomplete_event_size=CHUNK)
+        while True:
+            try:
+                request, body = await self._read(conn, stream)
+            except h11.RemoteProtocolError as error:
+                if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    await _send(conn, stream, Reply(error.error_status_hint, None), close=True)
+                return
+            if request is None:
+                return
+            if body is None:
+                await _send(conn, stream, Reply(400, {"error": "body over 64 KiB"}), close=True)
+                return
+            try:
+                reply = await self._handler(
+                    request.method.decode("ascii"), request.target.decode("ascii"), body
+                )
+            except Malformed as error:
+                reply = Reply(400, {"error": str(error)})
+            except Exception:
+                log.exception("a request failed")
+                reply = Reply(503, {"error": "internal error"}, 2.0)
+            with trio.move_on_after(self._request_s):
+                await _send(conn, stream, reply)
+            if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
+                return
+            conn.start_next_cycle()
+
+    async def _read(
+        self, conn: h11.Connection, stream: trio.SocketStream
+    ) -> tuple[h11.Request | None, bytes | None]:
+        request: h11.Request | None = None
+        parts: list[bytes] = []
+        size = 0
+        deadline = trio.current_time() + self._idle_s
+        while True:
+            event = conn.next_event()
+            if event is h11.NEED_DATA:
+                if conn.they_are_waiting_for_100_continue:
+                    go_on = h11.InformationalResponse(status_code=100, headers=[])
+                    await stream.send_all(conn.send(go_on) or b"")
+                data = None
+                with trio.move_on_at(deadline):
+                    data = await stream.receive_some(CHUNK)
+                if data is None:
+                    return None, None
+                conn.receive_data(data)
+            elif isinstance(event, h11.Request):
+                request = event
+                deadline = trio.current_time() + self._request_s
+            elif isinstance(event, h11.Data):
+                size += len(event.data)
+                if size > BODY_LIMIT:
+                    return request, None
+                parts.append(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                return request, b"".join(parts)
+            else:
+                return None, None
+
+
+async def _send(
+    conn: h11.Connection, stream: trio.SocketStream, reply: Reply, close: bool = False
+) -> None:
+    body = b"" if reply.body is None else encode(reply.body)
+    headers = [("content-length", str(len(body)))]
+    if body:
+        headers.append(("content-type", "application/cbor"))
+    if reply.retry_after_s is not None:
+        headers.append(("retry-after", str(max(1, math.ceil(reply.retry_after_s)))))
+    if close:
+        headers.append(("connection", "close"))
+    out = conn.send(h11.Response(status_code=reply.status, headers=headers)) or b""
+    out += conn.send(h11.Data(data=body)) or b""
+    out += conn.send(h11.EndOfMessage()) or b""
+    await stream.send_all(out)
+
+
+class Client:
+    """A pool of connections to one address. Every call has a deadline."""
+
+    def __init__(self, host: str, port: int, *, max_connections: int, idle_s: float) -> None:
+        self._host, self._port = host, port
+        self._header = [("host", f"{host}:{port}"), ("content-type", "application/cbor")]
+        self._idle: deque[tuple[trio.SocketStream, h11.Connection, float]] = deque()
+        self._slots = trio.CapacityLimiter(max_connections)
+        self._idle_s = idle_s
+
+    async def request(
+        self, method: str, target: str, body: Any = None, *, timeout_s: float
+    ) -> tuple[int, Any, float | None]:
+        """Returns (status, body, Retry-After). Raises Unreachable."""
+        try:
+            with trio.fail_after(timeout_s):
+                async with self._slots:
+                    return await self._exchange(method, target, body)
+        except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise Unreachable(type(error).__name__) from None
+        except (OSError, h11.RemoteProtocolError, Malformed) as error:
+            raise Unreachable(str(error)) from None
+
+    async def _exchange(
+        self, method: str, target: str, body: Any
+    ) -> tuple[int, Any, float | None]:
+        payload = b"" if body is None else encode(body)
+        while self._idle and self._idle[0][2] < trio.current_time():
+            await trio.aclose_forcefully(self._idle.popleft()[0])
+        if self._idle:
+            stream, conn, _ = self._idle.pop()
+        else:
+            # The connection is opened by IP number, without look-ups or racing.
+            sock = trio.socket.socket()
+            try:
+                sock.setsockopt(trio.socket.IPPROTO_TCP, trio.socket.TCP_NODELAY, 1)
+                await sock.connect((self._host, self._port))
+            except BaseException:
+                sock.close()
+                raise
+            stream, conn = trio.SocketStream(sock), h11.Connection(h11.CLIENT)
+        keep = False
+        try:
+            request = h11.Request(
+                method=method,
+                target=target,
+                headers=[*self._header, ("content-length", str(len(payload)))],
+            )
+            out = conn.send(request) or b""
+            if payload:
+                out += conn.send(h11.Data(data=payload)) or b""
+            out += conn.send(h11.EndOfMessage()) or b""
+            await stream.send_all(out)
+            response: h11.Response | None = None
+            parts: list[bytes] = []
+            while True:
+                event = conn.next_event()
+                if event is h11.NEED_DATA:
+                    conn.receive_data(await stream.receive_some(4 * CHUNK))
+                elif isinstance(event, h11.Response):
+                    response = event
+                elif isinstance(event, h11.Data):
+                    parts.append(bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    break
+                elif isinstance(event, h11.ConnectionClosed):
+                    raise h11.RemoteProtocolError("closed before the response")
+            assert response is not None
+            data = b"".join(parts)
+            answer = decode(data) if data else None
+            if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
+                conn.start_next_cycle()
+                self._idle.append((stream, conn, trio.current_time() + self._idle_s))
+                keep = True
+            return response.status_code, answer, _retry_after(response)
+        finally:
+            if not keep:
+                await trio.aclose_forcefully(stream)
+
+
+def _retry_after(response: h11.Response) -> float | None:
+    for name, value in response.headers:
+        if name == b"retry-after":
+            try:
+                return float(value)
+            except ValueError:
+                return None
+    return None
