--- a/ryegauge/bookkeeping/jobbook.py
+++ b/ryegauge/bookkeeping/jobbook.py
@@ -77,7 +77,7 @@
 
     @property
     def done(self) -> bool:
-        return self.spec.kind == "sweep" and self.done_count >= self.spec.tasks
+        return self.spec.kind != "standing" and self.done_count >= self.spec.tasks
 
     @property
     def status(self) -> str:
@@ -200,7 +200,9 @@
                 else:
                     self.parts[int(part)] = Owner(value["o"], value["i"], event.version)
             case ["r", "l"]:
-                self.leader = None if value is None else Owner(value["o"], value["i"], event.version)
+                self.leader = (
+                    None if value is None else Owner(value["o"], value["i"], event.version)
+                )
             case ["r", "n", node]:
                 if value is None:
                     self.nodes.pop(node, None)
--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -130,9 +130,8 @@
             await submission.done.wait()
         if submission.outcome == "accepted":
             return Reply(201, {"uid": spec.uid, "status": "queued"})
-        if submission.outcome == "known":
-            if (view := await self._known(spec.uid)) is not None:
-                return Reply(200, view)
+        if submission.outcome == "known" and (view := await self._known(spec.uid)) is not None:
+            return Reply(200, view)
         if submission in self._queue:
             self._queue.remove(submission)
         return _busy("the job could not be recorded")
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -262,9 +262,9 @@
         waiting: list[Job] = []
         for job in self._book.jobs.values():
             n = job.allotted_count
-            team = job.spec.team
-            used_cpus[team] = used_cpus.get(team, 0.0) + n * job.spec.cpus
-            used_gpus[team] = used_gpus.get(team, 0.0) + n * job.spec.gpus
+            name = job.spec.team
+            used_cpus[name] = used_cpus.get(name, 0.0) + n * job.spec.cpus
+            used_gpus[name] = used_gpus.get(name, 0.0) + n * job.spec.gpus
             if not job.over and job.open_tasks:
                 waiting.append(job)
         objectives = self._settings.settings.objectives
@@ -295,7 +295,7 @@
                 free = team.gpus_max - used_gpus[team.name]
                 count = min(count, int((free + EPSILON) // spec.gpus))
             zones = zone_limits(job)
-            if count <= 0:
+            if count <= 0 or (spec.kind == "gang" and count < len(job.open_tasks)):
                 continue
             used_cpus[team.name] += count * spec.cpus
             used_gpus[team.name] += count * spec.gpus
--- a/ryegauge/coordination/needs.py
+++ b/ryegauge/coordination/needs.py
@@ -24,6 +24,8 @@
         image_gb=spec.image_gb,
         spot_ok=spec.spot,
         service=spec.kind == "standing",
+        # Its tasks start together; those of a started gang join one by one.
+        gang=spec.kind == "gang" and count == spec.tasks,
         run_s=estimates.run_s(spec.job_class, spec.estimate_s),
         latest_finish=latest,
         types=None if spec.types is None else frozenset(spec.types),
@@ -79,7 +81,7 @@
     def __missing__(self, key: str) -> int:
         return self.default
 
-    def get(self, key: str, default: object = None) -> int:  # type: ignore[override]
+    def get(self, key: str, default: object = None) -> int:
         return self[key]
 
 
@@ -95,7 +97,7 @@
     team = teams.get(spec.team)
     if team is None:
         return "unknown team"
-    copies = spec.tasks if spec.kind == "standing" else 1
+    copies = 1 if spec.kind == "sweep" else spec.tasks
     if spec.cpus * copies > team.cpus_max + EPSILON:
         return "needs more CPUs than the team's limit"
     if spec.gpus * copies > team.gpus_max + EPSILON:
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -5,6 +5,7 @@
 nothing of the machines and finds out from their reports.
 """
 
+import logging
 import math
 from collections.abc import Callable, Iterable
 from typing import Literal
@@ -28,6 +29,8 @@
 from ryegauge.scheduling.estimates import Estimates
 from ryegauge.scheduling.planner import Room, place, whole_room
 
+log = logging.getLogger(__name__)
+
 # unseen: allotted before this token; may run on a machine not heard from yet.
 # free: on no machine for certain. placed: its `run` is wanted, never reported.
 # seen: reported alive. leaving: over or handed back; waits to be written.
@@ -275,6 +278,8 @@
             machine.tasks.add(key)
         mine = task is not None and task.machine == machine.name and task.attempt == attempt
         if entry.state == "ended":
+            if entry.why != "done":
+                log.info("%s: %s/%d attempt %d ended: %s", machine.name, *key, attempt, entry.why)
             if task is None:
                 # The record no longer has it with us: its outcome is durable.
                 commands.append(Forget(key, attempt))
--- a/ryegauge/protocol/jobs.py
+++ b/ryegauge/protocol/jobs.py
@@ -11,7 +11,7 @@
 MAX_TASKS = 100_000
 _UID = re.compile(r"wk-[0-9]{1,32}\Z")
 
-Kind = Literal["sweep", "standing"]
+Kind = Literal["sweep", "gang", "standing"]
 Priority = Literal["critical", "high", "normal", "best_effort"]
 PRIORITIES: tuple[Priority, ...] = ("critical", "high", "normal", "best_effort")
 
--- a/ryegauge/protocol/peers.py
+++ b/ryegauge/protocol/peers.py
@@ -69,9 +69,10 @@
 
 def parse_message(raw: Any) -> Message:
     try:
-        return msgspec.convert(raw, Message)
+        message: Message = msgspec.convert(raw, Message)
     except msgspec.ValidationError as error:
         raise Malformed(str(error)) from None
+    return message
 
 
 def to_wire(message: Message) -> list[Any]:
--- a/ryegauge/scheduling/planner.py
+++ b/ryegauge/scheduling/planner.py
@@ -8,7 +8,8 @@
 
 import math
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from copy import copy
+from dataclasses import dataclass, field, replace
 
 from ryegauge.protocol.cloud import MachineType
 
@@ -39,7 +40,7 @@
         self.cpus -= need.cpus * count
         self.memory_gb -= need.memory_gb * count
         self.gpus -= need.gpus * count
-        self.images.add(need.image)
+        self.images = self.images | {need.image}
         self.used = True
 
 
@@ -68,6 +69,8 @@
     zones: dict[str, int] | None = None
     # All tasks in one zone, not yet chosen.
     one_zone: bool = False
+    # Starts whole, on one pricing kind.
+    gang: bool = False
 
     def path_s(self, type_: MachineType, cached: bool = False) -> float:
         """The critical path on a type: the fetch and the longest remaining task."""
@@ -163,6 +166,17 @@
     return taken
 
 
+def place_gang(need: Need, rooms: list[Room], *, steady_only: bool) -> list[tuple[Room, int]]:
+    """All tasks at once on machines of one pricing kind, or none."""
+    for spot in (False,) if steady_only else (True, False):
+        kind = [room for room in rooms if room.spot == spot]
+        trial = replace(need, zones=None if need.zones is None else copy(need.zones))
+        place(trial, [replace(room) for room in kind], steady_only=False)
+        if trial.count <= 0:
+            return place(need, kind, steady_only=False)
+    return []
+
+
 def _best_zone(need: Need, rooms: list[Room]) -> str:
     fitting: dict[str, int] = {}
     for room in rooms:
@@ -190,7 +204,8 @@
     for need in needs:
         slack = latest_to_steady(need, market.types.values()) - now
         ahead = slack > 0 and not need.service
-        for room, count in place(need, running, steady_only=not ahead):
+        put = place_gang if need.gang else place
+        for room, count in put(need, running, steady_only=not ahead):
             result.placements.append(Placement(need.uid, count, room.name, room.part, room.zone))
         if need.count <= 0:
             continue
@@ -202,7 +217,7 @@
             and market.takeback_share < market.takeback_threshold
         )
         # What is on its way already is rented for someone; room that is left serves.
-        place(need, coming, steady_only=not ahead)
+        put(need, coming, steady_only=not ahead)
         while need.count > 0:
             room_type = _choose(need, market, spot, now)
             if room_type is None:
--- /dev/null
+++ b/tests/conftest.py
@@ -0,0 +1,79 @@
+"""The plain settings that most tests share, and hypothesis without surprises."""
+
+from pathlib import Path
+
+import pytest
+from hypothesis import settings as hypothesis_settings
+
+from ryegauge.config import Settings, load
+
+hypothesis_settings.register_profile("ci", derandomize=True, deadline=None, database=None)
+hypothesis_settings.load_profile("ci")
+
+SETTINGS = """
+node_name = "{name}"
+area = "a"
+listen = "10.0.0.{n}:8080"
+mesh_addr = "10.0.0.{n}:8081"
+[outside]
+cloud = "10.2.0.2:8443"
+state = "10.2.0.1:2379"
+[settings]
+nodes = 3
+zones = ["a", "b"]
+clock_error_ms = 5.0
+[[settings.teams]]
+name = "red"
+cpus = 16.0
+cpus_max = 32.0
+[[settings.teams]]
+name = "blue"
+cpus = 8.0
+cpus_max = 48.0
+[settings.workers]
+report_s = 1.0
+lease_s = 10.0
+cancel_s = 35.0
+[settings.state]
+rps = 100.0
+write_rps = 40.0
+value_kb = 16.0
+txn_ops = 12
+[settings.cloud]
+rps = 6.0
+list_lag_s = 4.0
+[settings.quota]
+core_share = 0.5
+memory_mb = 106.0
+max_connections = 600
+"""
+
+NAMES = ["node-0", "node-1", "node-2"]
+
+
+def settings_text(n: int = 0) -> str:
+    text = SETTINGS.format(name=NAMES[n], n=n + 1)
+    known = "".join(
+        f'[[known]]\nnode_name = "{name}"\narea = "a"\npeer_addr = "10.0.0.{i + 1}:8081"\n'
+        for i, name in enumerate(NAMES)
+        if i != n
+    )
+    return text + known
+
+
+@pytest.fixture
+def settings(tmp_path: Path) -> Settings:
+    path = tmp_path / "settings.toml"
+    path.write_text(settings_text())
+    return load(path)
+
+
+def job_body(uid: str = "wk-000001", **changes: object) -> dict[str, object]:
+    body: dict[str, object] = {
+        "uid": uid, "duty": "clean", "crew": "red", "shape": "sweep", "urgency": "normal",
+        "pieces": 4, "cpus": 2.0, "cards": 0.0, "memoryGb": 4.0, "kit": "img-1",
+        "imageGb": 1.0, "builds": None, "district": None, "together": False,
+        "spread": False, "loaners": True, "expectS": 20.0, "waypointS": 0.0,
+        "stowS": 0.0, "dueS": 300.0,
+    }
+    return {**body, **changes}
--- /dev/null
+++ b/tests/test_planner.py
@@ -0,0 +1,145 @@
+"""The planner against a slow plain model, and its choices one by one."""
+
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ryegauge.protocol.cloud import MachineType
+from ryegauge.scheduling.planner import Market, Need, Room, place, plan, whole_room
+
+SMALL = MachineType("small", 4.0, 16.0, 0.4, 20.0, ["a", "b"], spot_price=0.1, fetch_gb_per_s=0.5)
+LARGE = MachineType("large", 16.0, 64.0, 1.2, 40.0, ["a"], spot_price=0.5, fetch_gb_per_s=0.5)
+TYPES = {"small": SMALL, "large": LARGE}
+
+
+def need(count: int = 1, **changes: object) -> Need:
+    fields: dict[str, object] = {
+        "uid": "wk-1", "count": count, "cpus": 2.0, "memory_gb": 4.0, "gpus": 0.0,
+        "image": "i", "image_gb": 1.0, "spot_ok": True, "service": False, "run_s": 30.0,
+        "latest_finish": 1000.0,
+    }
+    return Need(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def market(**changes: object) -> Market:
+    fields: dict[str, object] = {
+        "types": TYPES, "refused": set(), "takeback_share": 0.0, "takeback_threshold": 0.3,
+    }
+    return Market(**{**fields, **changes})  # type: ignore[arg-type]
+
+
+def room(name: str, type_: MachineType = SMALL, zone: str = "a", spot: bool = True) -> Room:
+    return whole_room(type_, name, zone, spot, 0)
+
+
+rooms_strategy = st.lists(
+    st.tuples(
+        st.sampled_from(["small", "large"]), st.sampled_from(["a", "b"]), st.booleans(),
+        st.integers(0, 16), st.booleans(),
+    ),
+    max_size=6,
+)
+needs_strategy = st.lists(
+    st.tuples(
+        st.integers(1, 9), st.sampled_from([1.0, 2.0, 3.0, 8.0]), st.sampled_from([1.0, 9.0]),
+        st.booleans(), st.sampled_from([None, "a", "b"]), st.booleans(),
+    ),
+    max_size=4,
+)
+
+
+@given(rooms_strategy, needs_strategy)
+def test_placing_one_task_at_a_time_gives_the_same(
+    machines: list[tuple[str, str, bool, int, bool]],
+    wants: list[tuple[int, float, float, bool, str | None, bool]],
+) -> None:
+    """The plain model tries every machine anew for every single task: the earliest
+    completion, then the fullest machine, then the first."""
+    rooms = []
+    for i, (kind, zone, spot, used, cached) in enumerate(machines):
+        r = room(f"m{i}", TYPES[kind], zone, spot)
+        r.cpus -= min(used, r.cpus)
+        if cached:
+            r.images.add("i")
+        rooms.append(r)
+    plain = [
+        [r.cpus, r.memory_gb, r.type, r.zone, r.spot, "i" in r.images] for r in rooms
+    ]
+    for count, cpus, memory, spot_ok, zone, steady in wants:
+        n = need(count, cpus=cpus, memory_gb=memory, spot_ok=spot_ok,
+                 zones=None if zone is None else {zone: count})
+        got = {r.name: k for r, k in place(n, rooms, steady_only=steady)}
+        order = sorted(
+            range(len(plain)),
+            key=lambda i: (
+                0.0 if plain[i][5] else 1.0 / plain[i][2].fetch_gb_per_s, plain[i][0], i
+            ),
+        )
+        expected: dict[str, int] = {}
+        for _ in range(count):
+            for i in order:
+                free, mem, _type, where, spot, _ = plain[i]
+                if (
+                    free >= cpus and mem >= memory and (spot_ok or not spot)
+                    and not (steady and spot) and zone in (None, where)
+                ):
+                    plain[i][0] -= cpus
+                    plain[i][1] -= memory
+                    plain[i][5] = True
+                    expected[f"m{i}"] = expected.get(f"m{i}", 0) + 1
+                    break
+        assert got == expected
+        assert n.count == count - sum(expected.values())
+        assert all(r.cpus >= -1e-9 and r.memory_gb >= -1e-9 for r in rooms)
+
+
+def test_slack_ahead_takes_any_running_machine_then_new_spot() -> None:
+    result = plan([need(4)], [room("m1")], [], market(), now=0.0)
+    assert [(p.machine, p.count) for p in result.placements] == [("m1", 2)]
+    assert [(r.type, r.spot, r.count) for r in result.rentals] == [("small", True, 1)]
+
+
+@pytest.mark.parametrize(
+    ("changes", "kind"),
+    [
+        ({"latest_finish": 60.0}, False),  # slack, but less than one boot
+        ({"latest_finish": 20.0}, False),  # past the latest time to turn to steady
+        ({"spot_ok": False}, False),
+        ({"latest_finish": math.inf}, True),
+    ],
+)
+def test_kind_of_a_new_machine(changes: dict[str, object], kind: bool) -> None:
+    result = plan([need(1, **changes)], [], [], market(), now=0.0)
+    assert [r.spot for r in result.rentals] == [kind]
+
+
+def test_many_takebacks_turn_to_steady_machines() -> None:
+    result = plan([need(1)], [], [], market(takeback_share=0.3), now=0.0)
+    assert [r.spot for r in result.rentals] == [False]
+
+
+def test_starting_machines_are_counted_on() -> None:
+    result = plan([need(2)], [], [room("m-new")], market(), now=0.0)
+    assert not result.rentals
+    assert not result.placements
+    assert result.used == {"m-new"}
+
+
+def test_refused_types_are_passed_over() -> None:
+    refused = {("small", "a", True), ("small", "b", True)}
+    result = plan([need(1)], [], [], market(refused=refused), now=0.0)
+    assert [(r.type, r.spot) for r in result.rentals] == [("large", True)]
+
+
+def test_one_zone_and_zone_limits() -> None:
+    rooms = [room("m1", zone="a"), room("m2", zone="b"), room("m3", LARGE, zone="a")]
+    taken = place(need(5, one_zone=True), rooms, steady_only=False)
+    assert {r.zone for r, _ in taken} == {"a"}
+    rooms = [room("m1", zone="a"), room("m2", zone="b"), room("m3", LARGE, zone="a")]
+    spread = place(need(5, zones={"a": 3, "b": 3}), rooms, steady_only=False)
+    per_zone: dict[str, int] = {}
+    for r, n in spread:
+        per_zone[r.zone] = per_zone.get(r.zone, 0) + n
+    assert per_zone == {"a": 3, "b": 2}
