--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -4,6 +4,7 @@
 `node`; only what the book shows counts as allotted.
 """
 
+import logging
 import math
 from dataclasses import dataclass, field
 
@@ -29,6 +30,8 @@
 )
 from ryegauge.scheduling.takeback import TakebackShare
 
+log = logging.getLogger(__name__)
+
 
 class Rented:
     """A machine as the cloud knows it."""
@@ -70,6 +73,7 @@
         self.types: dict[str, MachineType] = {}  # with current prices
         self.fleet: dict[str, Rented] = {}
         self.listed_once = False
+        self._logged_at = -math.inf
         # Rental requests under way or of unknown outcome: rental -> until when to count.
         self._expected: list[tuple[Rental, float, float]] = []
         self._refused: dict[tuple[str, str, bool], tuple[float, float]] = {}
@@ -200,6 +204,17 @@
             takeback_threshold=self._settings.properties.takeback_threshold,
         )
         decided = plan(needs, running, self._starting(now), market, wall)
+        if now - self._logged_at > 10:
+            self._logged_at = now
+            waiting = sum(len(job.open_tasks) for job in jobs.values())
+            log.info(
+                "%d tasks open, %d placed now; %d machines, %d open, %.0f cpus free of %.0f; "
+                "renting %s; refused %s; take-back share %.2f",
+                waiting, sum(p.count for p in decided.placements), len(self.fleet), len(running),
+                sum(max(0.0, r.cpus) for r in running), sum(r.type.cpus for r in running),
+                [(r.type, r.zone, r.spot, r.count) for r in decided.rentals],
+                sorted(market.refused), market.takeback_share,
+            )
         self._allot(decided, jobs, result)
         if self.listed_once:
             result.rentals = decided.rentals
--- a/ryegauge/scheduling/planner.py
+++ b/ryegauge/scheduling/planner.py
@@ -14,6 +14,8 @@
 from ryegauge.protocol.cloud import MachineType
 
 EPSILON = 1e-6
+# Speeds of machines of a type differ by up to this share; less says nothing.
+ALIKE = 0.1
 
 
 @dataclass(slots=True)
@@ -131,12 +133,15 @@
 def place(need: Need, rooms: list[Room], *, steady_only: bool) -> list[tuple[Room, int]]:
     """Takes room for as much of the need as fits (FindFreeSlot and FindRunningVM).
 
-    The earliest completion comes first, which among machines alike means the image
-    is there already; of those, the fullest, so that others run empty.
+    The earliest completion comes first. Machines of a type differ in speed by a tenth,
+    so completions within a tenth of the path count as equal; of those, the smallest
+    machine, so that room for large tasks is kept, then the fullest, so that others
+    run empty.
     """
+    grain = ALIKE * need.run_s
     taken: list[tuple[Room, int]] = []
     candidates = [
-        (room.ready_s + need.path_s(room.type, need.image in room.images), room.cpus, i, room)
+        (_completion(need, room, grain), room.type.cpus, room.cpus, i, room)
         for i, room in enumerate(rooms)
         if not (steady_only and room.spot)
         and room.cpus + EPSILON >= need.cpus
@@ -144,10 +149,10 @@
         and room.fits(need) > 0
     ]
     if need.one_zone and candidates:
-        zone = _best_zone(need, [c[3] for c in candidates])
-        candidates = [c for c in candidates if c[3].zone == zone]
-    candidates.sort(key=lambda c: c[:3])
-    for _, _, _, room in candidates:
+        zone = _best_zone(need, [c[4] for c in candidates])
+        candidates = [c for c in candidates if c[4].zone == zone]
+    candidates.sort(key=lambda c: c[:4])
+    for _, _, _, _, room in candidates:
         if need.count <= 0:
             break
         n = room.fits(need)
@@ -166,6 +171,11 @@
     return taken
 
 
+def _completion(need: Need, room: Room, grain: float) -> float:
+    path = room.ready_s + need.path_s(room.type, need.image in room.images)
+    return path if grain <= 0 else path // grain
+
+
 def place_gang(need: Need, rooms: list[Room], *, steady_only: bool) -> list[tuple[Room, int]]:
     """All tasks at once on machines of one pricing kind, or none."""
     for spot in (False,) if steady_only else (True, False):
@@ -205,7 +215,12 @@
         slack = latest_to_steady(need, market.types.values()) - now
         ahead = slack > 0 and not need.service
         put = place_gang if need.gang else place
-        for room, count in put(need, running, steady_only=not ahead):
+        taken = put(need, running, steady_only=not ahead)
+        if need.count > 0 and not ahead and not need.service:
+            # Exception "late on spot": past the point, with no steady room free, a
+            # running spot machine still finishes sooner than waiting for a steady one.
+            taken += put(need, running, steady_only=False)
+        for room, count in taken:
             result.placements.append(Placement(need.uid, count, room.name, room.part, room.zone))
         if need.count <= 0:
             continue
@@ -216,8 +231,12 @@
             and slack - boot_s > 0
             and market.takeback_share < market.takeback_threshold
         )
+        if not spot and need.spot_ok and not need.service and not _in_time(need, market, now):
+            # Exception "no type in time": no new machine of any type meets the deadline,
+            # so a steady one would be dearer and no earlier.
+            spot = market.takeback_share < market.takeback_threshold
         # What is on its way already is rented for someone; room that is left serves.
-        put(need, coming, steady_only=not ahead)
+        put(need, coming, steady_only=not spot)
         while need.count > 0:
             room_type = _choose(need, market, spot, now)
             if room_type is None:
@@ -235,6 +254,19 @@
     return result
 
 
+def _in_time(need: Need, market: Market, now: float) -> bool:
+    """Whether some steady machine rented now would meet the deadline (Algorithm 3)."""
+    return any(
+        now + t.boot_s + need.path_s(t) <= need.latest_finish
+        and _fit(need, t.cpus, t.memory_gb, t.gpus) > 0
+        and any(
+            allowed(need, t.name, z, False) and (t.name, z, False) not in market.refused
+            for z in t.zones
+        )
+        for t in market.types.values()
+    )
+
+
 def _choose(
     need: Need, market: Market, spot: bool, now: float
 ) -> tuple[MachineType, str] | None:
