--- a/ryegauge/bookkeeping/state.py
+++ b/ryegauge/bookkeeping/state.py
@@ -1,11 +1,17 @@
 """The client of the state service, within this controller's share of its limits."""
 
+from collections.abc import Awaitable, Callable
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
+import trio
+
 from ryegauge.bookkeeping.budget import Budget
 from ryegauge.transport.http import Client, Unreachable
 
+# Sends a request by way of a peer; None if no peer got an answer for us.
+Relayer = Callable[[str, str, Any, float], Awaitable[tuple[int, Any] | None]]
+
 
 class Unavailable(Exception):
     """Refused or not executed for certain: 429, 503 or no share left."""
@@ -47,18 +53,50 @@
         # A tenth stays unused: the service counts by its own clock.
         self.requests = Budget(0.9 * rps / nodes, 0.9 * rps / nodes)
         self.writes = Budget(0.9 * write_rps / nodes, 0.9 * write_rps / nodes)
-        self.last_answer_at = float("-inf")
+        # When it last served us directly, and since when it has not.
+        self.failing_since: float | None = None
+        self._patience_s = 0.0
+        self._relayer: Relayer | None = None
 
-    async def _call(
-        self, method: str, target: str, body: Any = None, *, timeout_s: float, urgent: bool
+    def use_relay(self, relayer: Relayer, patience_s: float) -> None:
+        """Peers carry our requests once the service has refused us for so long."""
+        self._relayer, self._patience_s = relayer, patience_s
+
+    async def direct(
+        self, method: str, target: str, body: Any, timeout_s: float
     ) -> tuple[int, Any]:
-        await self.requests.take(urgent=urgent)
+        """One request as it is, for ourselves or for a peer."""
         try:
             status, answer, _ = await self._client.request(
                 method, target, body, timeout_s=timeout_s
             )
         except Unreachable as error:
+            self._failed()
             raise Unknown(str(error)) from None
+        if status == 503:
+            self._failed()
+        else:
+            self.failing_since = None
+        return status, answer
+
+    def _failed(self) -> None:
+        if self.failing_since is None:
+            self.failing_since = trio.current_time()
+
+    async def _call(
+        self, method: str, target: str, body: Any = None, *, timeout_s: float, urgent: bool
+    ) -> tuple[int, Any]:
+        await self.requests.take(urgent=urgent)
+        failing = self.failing_since
+        if (
+            self._relayer is not None
+            and failing is not None
+            and trio.current_time() - failing > self._patience_s
+            and (relayed := await self._relayer(method, target, body, timeout_s)) is not None
+        ):
+            status, answer = relayed
+        else:
+            status, answer = await self.direct(method, target, body, timeout_s)
         if status == 429:
             self.requests.drain()
         if status in (429, 503):
--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -123,7 +123,9 @@
         """
         w = self.settings.workers
         spare = w.cancel_s * (1 - 4 * CLOCK_DRIFT) - w.lease_s - 2 * self.report_gap_s
-        return min(1.5 * w.lease_s, 0.9 * spare)
+        # Half a lease: the tasks of a controller that ends outlive its term, so that
+        # another can take them over.
+        return min(0.5 * w.lease_s, 0.9 * spare)
 
 
 def split_address(text: str) -> tuple[str, int]:
--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -5,6 +5,7 @@
 
 import logging
 import time
+from collections import deque
 from collections.abc import Callable
 from typing import Any, Literal
 
@@ -75,6 +76,8 @@
         # More than this many seconds' worth of writes is refused at once.
         self._queue_limit = max(12, int(2 * state.writes.rate))
         self._waiting = 0
+        # What was cancelled here of late: told to peers that cannot read it.
+        self.cancellations: deque[tuple[float, str]] = deque(maxlen=1000)
 
     async def handle(self, method: str, path: str, body: bytes) -> Reply:
         parts = path.partition("?")[0].strip("/").split("/")
@@ -230,6 +233,7 @@
                 )
             except Conflict:
                 continue
+            self.cancellations.append((trio.current_time(), uid))
             self._wrote(ledger)
             return Reply(200, {"uid": uid, "status": "cancelled"})
         return _busy("the job keeps changing")
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -282,17 +282,14 @@
             used_gpus[name] = used_gpus.get(name, 0.0) + n * job.spec.gpus
             if not job.over and job.open_tasks:
                 waiting.append(job)
+        within_guarantee = self._within_guarantee()
         objectives = self._settings.settings.objectives
         ranked: list[tuple[tuple[bool, int, float, float, str], Job, float]] = []
         for job in waiting:
             finish = latest_finish(job, objectives)
-            team = self._teams.get(job.spec.team)
-            if team is None:
+            if job.spec.team not in self._teams:
                 continue
-            within = (
-                used_cpus[team.name] < team.cpus
-                or (job.spec.gpus > 0 and used_gpus[team.name] < team.gpus)
-            )
+            within = job.spec.uid in within_guarantee
             rank = PRIORITIES.index(job.spec.priority)
             ranked.append(
                 ((not within, rank, finish, job.submitted_at, job.spec.uid), job, finish)
@@ -317,6 +314,30 @@
             needs.append(make_need(job, count, zones, self.estimates, finish))
         return needs, {job.spec.uid: job for _, job, _ in ranked}
 
+    def _within_guarantee(self) -> set[str]:
+        """Jobs that fit into their team's guarantee together with the team's earlier
+        unfinished jobs: they need not wait for other teams."""
+        unfinished = sorted(
+            (job for job in self._book.jobs.values() if not job.over),
+            key=lambda job: job.submitted_at,
+        )
+        cpus: dict[str, float] = {}
+        gpus: dict[str, float] = {}
+        within: set[str] = set()
+        for job in unfinished:
+            spec = job.spec
+            if (team := self._teams.get(spec.team)) is None:
+                continue
+            left = spec.tasks - job.done_count
+            cpus[team.name] = cpus.get(team.name, 0.0) + left * spec.cpus
+            gpus[team.name] = gpus.get(team.name, 0.0) + left * spec.gpus
+            if (
+                cpus[team.name] <= team.cpus + EPSILON
+                and gpus[team.name] <= team.gpus + EPSILON
+            ):
+                within.add(spec.uid)
+        return within
+
     def _allot(self, decided: Plan, jobs: dict[str, Job], result: Round) -> None:
         taken: dict[str, Ranges] = {}
         for placement in decided.placements:
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -33,7 +33,20 @@
     Rented,
     parse,
 )
-from ryegauge.protocol.peers import PartOrders, PartView, Poke, parse_message, to_wire
+from ryegauge.protocol.peers import (
+    Hello,
+    HelloAnswer,
+    Message,
+    PartOrders,
+    PartView,
+    Poke,
+    Relay,
+    RelayAnswer,
+    Vow,
+    VowAnswer,
+    parse_message,
+    to_wire,
+)
 from ryegauge.protocol.workers import parse_report, report_reply
 from ryegauge.scheduling.planner import Rental
 from ryegauge.transport.http import Client, Malformed, Reply, Server, Unreachable, decode
@@ -73,8 +86,9 @@
             self._state, self.book, idle_s=min(0.5, self._report_s / 2), timeout_s=1.0
         )
         self._term = Term(
-            settings, self._state, self.book, self._syncer, secrets.token_hex(6)
+            settings, self._state, self.book, self._syncer, lambda: secrets.token_hex(6)
         )
+        self._state.use_relay(self._relay, patience_s=settings.term_s / 5)
         self._types: dict[str, MachineType] = {}
         self._front = FrontDoor(
             settings, self._state, self.book, self._syncer, lambda: self._types, self._wrote
@@ -108,6 +122,9 @@
             self._write_outcomes,
             self._report_parts,
             self._hand_over,
+            self._greet,
+            self._ask_vows,
+            self._probe_state,
             self._tell_peers,
             self._lead,
             self._watch_catalog,
@@ -180,15 +197,112 @@
                 for client in self._peers.values():
                     nursery.start_soon(self._send, client, message)
 
-    async def _send(self, client: Client, message: list[object]) -> object:
+    async def _send(
+        self, client: Client, message: list[object], timeout_s: float = 0.0
+    ) -> object:
         try:
             status, answer, _ = await client.request(
-                "POST", "/peer", message, timeout_s=self._report_s / 2
+                "POST", "/peer", message, timeout_s=timeout_s or self._report_s / 2
             )
         except Unreachable:
             return None
         return answer if status == 200 else None
 
+    async def _ask(self, client: Client, message: Message, timeout_s: float = 0.0) -> object:
+        answer = await self._send(client, to_wire(message), timeout_s)
+        if answer is None:
+            return None
+        try:
+            return parse_message(answer)
+        except Malformed as error:
+            log.warning("a peer's answer cannot be read: %s", error)
+            return None
+
+    # -- outages ---------------------------------------------------------------------------
+
+    async def _greet(self) -> None:
+        """Lets the peers know that this process remembers no vow."""
+        hello = Hello(self._settings.node_name, self._term.incarnation)
+        while self._term.unwelcomed:
+            for name in list(self._term.unwelcomed):
+                answer = await self._ask(self._peers[name], hello)
+                if isinstance(answer, HelloAnswer):
+                    self._term.welcomed_by(name)
+            await trio.sleep(self._report_s / 5)
+        await trio.sleep_forever()
+
+    async def _ask_vows(self) -> None:
+        while True:
+            await trio.sleep(self._settings.term_s / 12)
+            asked_at = trio.current_time()
+            if not self._peers or not self._term.needs_vows(asked_at):
+                continue
+            voters: dict[str, str] = {}
+
+            async def ask(
+                name: str, client: Client, voters: dict[str, str] = voters
+            ) -> None:
+                answer = await self._ask(client, self._vow())
+                if isinstance(answer, VowAnswer):
+                    self._cancelled_elsewhere(answer.cancelled)
+                    if answer.given:
+                        voters[name] = answer.incarnation
+
+            async with trio.open_nursery() as nursery:
+                for name, client in self._peers.items():
+                    nursery.start_soon(ask, name, client)
+            self._term.vowed(asked_at, voters, trio.current_time())
+
+    def _recent_cancellations(self) -> list[str]:
+        since = trio.current_time() - 2 * self._settings.settings.workers.cancel_s
+        return [uid for at, uid in self._front.cancellations if at > since]
+
+    def _vow(self) -> Vow:
+        return Vow(
+            self._settings.node_name, self._term.incarnation, self._recent_cancellations()
+        )
+
+    def _cancelled_elsewhere(self, uids: list[str]) -> None:
+        for owner in self._owned.values():
+            for uid in uids:
+                owner.cancelled(uid)
+
+    async def _probe_state(self) -> None:
+        """While peers carry our requests, tries whether the service serves us again."""
+        while True:
+            await trio.sleep(self._settings.term_s / 5)
+            if self._state.failing_since is not None:
+                try:
+                    await self._state.direct("POST", "/multi", {"if": [], "apply": []}, 1.0)
+                except Unknown as error:
+                    log.debug("the state service: %s", error)
+
+    async def _relay(
+        self, method: str, target: str, body: object, timeout_s: float
+    ) -> tuple[int, object] | None:
+        for client in self._peers.values():
+            answer = await self._ask(client, Relay(method, target, body), timeout_s)
+            if isinstance(answer, RelayAnswer):
+                if answer.status:
+                    return answer.status, answer.body
+                # No answer reached the peer: it may have been executed.
+                raise Unknown("no answer by way of a peer")
+        return None
+
+    async def _carry(self, message: Relay) -> Reply:
+        """Sends a peer's request to the state service, if that serves us."""
+        if self._state.failing_since is not None or not self._state.requests.try_take():
+            return Reply(503, ["cannot"])
+        try:
+            status, answer = await self._state.direct(
+                message.method, message.target, message.body, 1.0
+            )
+        except Unknown:
+            return Reply(200, to_wire(RelayAnswer(0, None)))
+        if status == 503:
+            return Reply(503, ["cannot"])
+        return Reply(200, to_wire(RelayAnswer(status, answer)))
+
     # -- parts -----------------------------------------------------------------------------
 
     async def _own_parts(self) -> None:
@@ -247,11 +361,7 @@
                     if self._leader is not None:
                         orders = self._leader.on_view(view, now)
                 elif (client := self._peers.get(leader.node)) is not None:
-                    answer = await self._send(client, to_wire(view))
-                    try:
-                        orders = None if answer is None else parse_message(answer)
-                    except Malformed as error:
-                        log.warning("a leader's answer cannot be read: %s", error)
+                    orders = await self._ask(client, view)
                 if isinstance(orders, PartOrders):
                     owner.gone(orders.gone)
                     owner.retire(orders.retire)
@@ -411,7 +521,7 @@
     async def _watch_catalog(self) -> None:
         """Prices for the leader; the types themselves for all, through the book."""
         while True:
-            pause = self._report_s
+            pause = self._report_s / 10
             if self._leader is not None and self._term.valid(trio.current_time()):
                 try:
                     await self._cloud_budget.take()
@@ -426,6 +536,7 @@
                         pause = 2 * self._settings.settings.workers.lease_s
                 except (Unreachable, Malformed, *RETRY) as error:
                     log.info("reading the catalogue failed: %s", error)
+                    pause = self._report_s
             await trio.sleep(pause)
 
     async def _publish_types(self, records: list[dict[str, object]]) -> None:
@@ -499,4 +610,16 @@
                 orders = leader.on_view(message, trio.current_time())
                 self._wake()
                 return Reply(200, to_wire(orders))
+            case Vow(node=node, incarnation=incarnation, cancelled=cancelled):
+                given = self._term.give_vow(node, incarnation, trio.current_time())
+                self._cancelled_elsewhere(cancelled)
+                answer = VowAnswer(
+                    given, self._term.incarnation, self._recent_cancellations()
+                )
+                return Reply(200, to_wire(answer))
+            case Hello(node=node, incarnation=incarnation):
+                self._term.welcome(node, incarnation)
+                return Reply(200, to_wire(HelloAnswer(self._settings.node_name)))
+            case Relay():
+                return await self._carry(message)
         return Reply(400, ["unexpected"])
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -145,6 +145,11 @@
             for key in wanted:
                 self._withdraw(self.tasks[key])
 
+    def cancelled(self, uid: str) -> None:
+        """Known from a peer, before the book can be read."""
+        for key in list(self._by_job.get(uid, ())):
+            self._withdraw(self.tasks[key])
+
     def _drop(self, key: TaskKey) -> None:
         """The record no longer gives us the task: only written once it was over."""
         task = self.tasks.pop(key)
--- a/ryegauge/coordination/terms.py
+++ b/ryegauge/coordination/terms.py
@@ -1,6 +1,7 @@
 """This controller's term: its lease with the state service, and the roles it holds."""
 
 import logging
+from collections.abc import Callable
 
 import trio
 
@@ -34,7 +35,7 @@
 
     def __init__(
         self, settings: Settings, state: StateClient, book: JobBook, syncer: Syncer,
-        incarnation: str,
+        new_incarnation: Callable[[], str],
     ) -> None:
         self._name = settings.node_name
         self._names = settings.node_names
@@ -43,19 +44,81 @@
         self._state = state
         self._book = book
         self._syncer = syncer
-        self.incarnation = incarnation
+        self._new_incarnation = new_incarnation
+        self.incarnation = new_incarnation()
         self._lease: int | None = None
+        self._granted_at = float("inf")
         self._renewed_from = float("-inf")
         # Given back with an unknown outcome: never to be used again.
         self._given_back: set[int] = set()
         self._enrolled = False
+        # A claim was sent; until the book is read again its outcome is not known.
+        self._claimed_at = float("-inf")
+        self._vowed_from = float("-inf")
+        self._voters: dict[str, str] = {}  # who vowed, and as which incarnation
+        self._vowed_until: dict[str, float] = {}  # what we vowed ourselves
+        # Vows that a predecessor of this process gave have run out by then.
+        self._quiet_until = trio.current_time() + self._ttl_s
+        self._unwelcomed = {n for n in self._names if n != self._name}
 
     def valid(self, now: float) -> bool:
-        if self._lease is None:
+        # What the book says of roles counts only if it was read during this lease:
+        # after a lapse others may have taken them.
+        if self._lease is None or self._syncer.began_at < self._granted_at:
             return False
-        since = min(self._renewed_from, self._syncer.began_at)
+        since = max(min(self._renewed_from, self._syncer.began_at), self._vowed_from)
         return now < since + self._ttl_s * (1 - 4 * CLOCK_DRIFT) - 0.01
 
+    # -- outages --------------------------------------------------------------------
+    #
+    # While the state service answers nobody, nobody can take a role over, but no
+    # controller can know that alone. If all others say that they are refused as well,
+    # and vow to leave our roles alone for a term, our authority lasts for a term from
+    # when they were asked. They name what they cancelled, so that no cancellation is
+    # missed meanwhile.
+
+    def needs_vows(self, now: float) -> bool:
+        since = max(min(self._renewed_from, self._syncer.began_at), self._vowed_from)
+        return self.valid(now) and now > since + self._ttl_s / 3
+
+    def vowed(self, asked_at: float, voters: dict[str, str], now: float) -> None:
+        """All others vowed. Counts only if authority has not lapsed since."""
+        if self.valid(now) and set(voters) == {n for n in self._names if n != self._name}:
+            self._vowed_from = asked_at
+            self._voters = voters
+
+    def give_vow(self, node: str, incarnation: str, now: float) -> bool:
+        """Only if the state service fails us too, and we have claimed nothing since
+        the book was last read: a claim under way could be the asker's role."""
+        if (
+            not self._syncer.ready.is_set()
+            or self._state.failing_since is None
+            or self._book.nodes.get(node) != incarnation
+            or self._claimed_at >= self._syncer.began_at
+        ):
+            return False
+        self._vowed_until[node] = now + self._ttl_s
+        return True
+
+    def welcome(self, node: str, incarnation: str) -> None:
+        """A peer has started anew and remembers no vow of its predecessor."""
+        if self._voters.get(node, incarnation) != incarnation:
+            self._vowed_from = float("-inf")
+
+    def welcomed_by(self, node: str) -> None:
+        self._unwelcomed.discard(node)
+
+    @property
+    def unwelcomed(self) -> set[str]:
+        return self._unwelcomed
+
+    def _may_claim(self, now: float) -> bool:
+        """Whether no vow stands against taking what has no owner: given by us, or,
+        unless all the others have let go of it, by our predecessor."""
+        if any(until > now for until in self._vowed_until.values()):
+            return False
+        return not self._unwelcomed or now > self._quiet_until
+
     def token_of(self, part: int) -> int | None:
         """The token under which this controller owns the part, by the book."""
         owner = self._book.parts.get(part)
@@ -88,6 +151,9 @@
             except Gone:
                 log.warning("the lease ran out: starting a new term")
                 self._lease = None
+                # Nothing held under the old term is ours by the book any more.
+                self.incarnation = self._new_incarnation()
+                self._vowed_from = float("-inf")
                 self._enrolled = False
                 continue
             except Conflict:
@@ -101,6 +167,7 @@
         if self._lease is None:
             lease = await self._state.grant(self._ttl_s, timeout_s=timeout_s)
             self._lease = lease
+            self._granted_at = trio.current_time()
             self._enrolled = False
         else:
             await self._state.extend(self._lease, timeout_s=timeout_s)
@@ -110,10 +177,11 @@
         """Roles that this controller should take, with the versions they have now."""
         live = {*self._book.nodes, self._name}
         claims: dict[str, int] = {}
+        may_claim = self._may_claim(trio.current_time())
         for part in range(self._parts):
             owner = self._book.parts.get(part)
             if owner is None:
-                if wanted_owner(part, self._names, live) == self._name:
+                if may_claim and wanted_owner(part, self._names, live) == self._name:
                     claims[part_key(part)] = 0
             elif owner.node == self._name and self.token_of(part) is None:
                 # Our predecessor's, as its own record proves: it has ended, since
@@ -121,7 +189,7 @@
                 claims[part_key(part)] = owner.token
         leader = self._book.leader
         if leader is None:
-            if wanted_leader(self._names, live) == self._name:
+            if may_claim and wanted_leader(self._names, live) == self._name:
                 claims[LEADER_KEY] = 0
         elif leader.node == self._name and self.leader_token is None:
             claims[LEADER_KEY] = leader.token
@@ -134,6 +202,8 @@
         changes: list[Put | Delete] = [Put(key, record, self._lease) for key in claims]
         if not self._enrolled:
             changes.append(Put(f"r/n/{self._name}", {"i": self.incarnation}, self._lease))
+        if claims:
+            self._claimed_at = trio.current_time()
         await self._state.commit(claims, changes, timeout_s=self._ttl_s / 6, urgent=True)
         self._enrolled = True
         if claims:
--- a/ryegauge/protocol/peers.py
+++ b/ryegauge/protocol/peers.py
@@ -64,7 +64,50 @@
     gone: list[str]
 
 
-Message = PartView | Poke | PartOrders
+class Vow(msgspec.Struct, frozen=True, array_like=True, tag="vow"):
+    """During an outage of the state service: will you keep from taking my roles?"""
+
+    node: str
+    incarnation: str
+    # The sender's cancellations of late, which the receiver may not have read.
+    cancelled: list[str]
+
+
+class VowAnswer(msgspec.Struct, frozen=True, array_like=True, tag="vowed"):
+    """Given only by a controller that gets no answer from the state service either."""
+
+    given: bool
+    incarnation: str
+    cancelled: list[str]
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
+    """A controller has started: vows of its predecessor no longer count."""
+
+    node: str
+    incarnation: str
+
+
+class HelloAnswer(msgspec.Struct, frozen=True, array_like=True, tag="welcome"):
+    node: str
+
+
+class Relay(msgspec.Struct, frozen=True, array_like=True, tag="relay"):
+    """A request to the state service, for a controller that it refuses alone."""
+
+    method: str
+    target: str
+    body: Any
+
+
+class RelayAnswer(msgspec.Struct, frozen=True, array_like=True, tag="relayed"):
+    status: int
+    body: Any
+
+
+Message = (
+    PartView | Poke | PartOrders | Vow | VowAnswer | Hello | HelloAnswer | Relay | RelayAnswer
+)
 
 
 def parse_message(raw: Any) -> Message:
