--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -90,6 +90,8 @@
     takeback_window_s: Positive = 30.0
     # How long a machine may stand idle, as a multiple of its nominal boot time.
     idle_boots: NonNegative = 1.0
+    # How long a task waits for a busy machine rather than have one rented, likewise.
+    patience_boots: NonNegative = 0.5
     # What deleting a machine costs at least; an idle one is kept that long.
     paid_period_s: NonNegative = 60.0
 
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -202,6 +202,7 @@
             refused={key for key, (until, _) in self._refused.items() if until > now},
             takeback_share=self.takeback.share(now),
             takeback_threshold=self._settings.properties.takeback_threshold,
+            patience=self._settings.properties.patience_boots,
         )
         decided = plan(needs, running, self._starting(now), market, wall)
         if now - self._logged_at > 10:
@@ -243,12 +244,14 @@
                 room = whole_room(type_, m.name, m.zone, m.spot, view.part)
                 room.images = set(m.images)
                 room.used = bool(m.tasks)
-                for uid, flat, _ in m.tasks:
+                for uid, flat, left_s in m.tasks:
                     job = self._book.jobs.get(uid)
                     if job is None:
                         room.cpus = -1.0
                         break
                     n = len(Ranges.from_flat(flat))
+                    spec = job.spec
+                    room.busy.append((left_s, n, spec.cpus, spec.memory_gb, spec.gpus))
                     room.cpus -= n * job.spec.cpus
                     room.memory_gb -= n * job.spec.memory_gb
                     room.gpus -= n * job.spec.gpus
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -47,7 +47,7 @@
     parse_message,
     to_wire,
 )
-from ryegauge.protocol.workers import parse_report, report_reply
+from ryegauge.protocol.workers import Command, parse_report, report_reply
 from ryegauge.scheduling.planner import Rental
 from ryegauge.transport.http import Client, Malformed, Reply, Server, Unreachable, decode
 
@@ -95,6 +95,8 @@
         )
         self._owned: dict[int, PartOwner] = {}
         self._leader: Leader | None = None
+        self._workers: dict[str, Client] = {}
+        self._placed = trio.Event()
         self._changed = trio.Event()  # something that owners or the leader should look at
         self._to_tell: int = 0  # revision that the peers should read
         self._tell = trio.Event()
@@ -119,6 +121,7 @@
             self._term.run,
             self._front.write_submissions,
             self._own_parts,
+            self._push_commands,
             self._write_outcomes,
             self._report_parts,
             self._hand_over,
@@ -315,8 +318,53 @@
                 continue
             for owner in self._owned.values():
                 owner.tick(now, time.time())
+            self._placed.set()
             await trio.sleep(0.02)
 
+    async def _push_commands(self) -> None:
+        """Sends starts straight to the workers instead of waiting for their reports."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self._placed.wait()
+                self._placed = trio.Event()
+                now = trio.current_time()
+                if not self._term.valid(now):
+                    continue
+                for owner in list(self._owned.values()):
+                    for name, address, session, commands in owner.to_push(now):
+                        nursery.start_soon(self._push, owner, name, address, session, commands)
+
+    async def _push(
+        self, owner: PartOwner, name: str, address: str, session: int, commands: list[Command]
+    ) -> None:
+        body = report_reply(owner.token, commands)
+        body["shift"] = session
+        try:
+            client = self._worker_client(address)
+            status, answer, _ = await client.request(
+                "POST", "/commands", body, timeout_s=self._report_s
+            )
+            if status not in (200, 409):
+                return
+            report = parse_report(answer)
+        except (Unreachable, Malformed, ValueError) as error:
+            log.debug("%s: commands without an answer: %s", name, error)
+            return
+        if self._owned.get(owner.part) is owner:
+            owner.pushed(name, session, commands)
+            if report.token <= owner.token:
+                owner.on_report(report, trio.current_time(), checkin=False)
+
+    def _worker_client(self, address: str) -> Client:
+        client = self._workers.pop(address, None)
+        if client is None:
+            host, port = split_address(address)
+            client = Client(host, port, max_connections=2, idle_s=self._idle_s)
+        self._workers[address] = client  # the latest used is last
+        if len(self._workers) > self._settings.settings.quota.max_connections // 8:
+            self._workers.pop(next(iter(self._workers))).close()
+        return client
+
     async def _write_outcomes(self) -> None:
         """Brings the shares in the book to what the owners have seen."""
         limit = self._settings.settings.state.txn_ops
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -59,8 +59,8 @@
 
 class Machine:
     __slots__ = (
-        "alive", "heard_at", "idle_since", "images", "name", "notice_at", "retiring", "spot",
-        "stamp", "strikes", "tasks", "trusted", "type", "zone",
+        "address", "alive", "direct", "heard_at", "idle_since", "images", "name", "notice_at",
+        "retiring", "spot", "stamp", "strikes", "tasks", "trusted", "type", "zone",
     )
 
     def __init__(self, report: Report, now: float) -> None:
@@ -68,6 +68,10 @@
         self.type = report.type
         self.zone = report.zone
         self.spot = report.spot
+        self.address = report.addr
+        # Attempts sent straight to the worker, without an answer so far: they may
+        # still be started at any time in this session.
+        self.direct: set[tuple[TaskKey, int]] = set()
         self.trusted = False  # has reported under this token
         self.stamp = (0, 0)
         self.heard_at = now
@@ -216,17 +220,23 @@
 
     # -- reports --------------------------------------------------------------------
 
-    def on_report(self, report: Report, now: float) -> list[Command]:
-        """Takes a report in; the commands go into its answer."""
+    def on_report(self, report: Report, now: float, checkin: bool = True) -> list[Command]:
+        """Takes a report in; the commands go into its answer.
+
+        `checkin` is false for a report that came as the answer to direct commands: it
+        renews no lease, and the answer to an earlier check-in may still be on its way."""
         stamp = (report.session, report.seq)
         machine = self.machines.get(report.machine)
         if stamp <= self._stamps.get(report.machine, (0, 0)):
             # Sent in a session that has surely ended: a late delivery.
             return []
+        if not checkin and (machine is None or not machine.trusted):
+            return []
         if machine is None:
             machine = self.machines[report.machine] = Machine(report, now)
         # Whatever is answered may renew the lease, so it counts as heard.
-        machine.heard_at = now
+        if checkin:
+            machine.heard_at = now
         if report.token < self.token:
             # Sent before the worker saw this token: it may still have been given
             # commands by an earlier authority. The answer shows it the token.
@@ -234,11 +244,14 @@
         if machine.trusted and stamp <= machine.stamp:
             return []
         new_session = machine.trusted and report.session != machine.stamp[0]
+        if new_session:
+            machine.direct.clear()
         machine.stamp = stamp
         machine.trusted = True
+        machine.address = report.addr or machine.address
         machine.notice_at = None if report.notice_s is None else now + report.notice_s
         reported = {(task_key(t.task), t.attempt): t for t in report.tasks}
-        self._missing(machine, reported, new_session)
+        self._missing(machine, reported, new_session, checkin)
         machine.alive = {k: t for k, t in reported.items() if t.state != "ended"}
         commands: list[Command] = []
         for (key, attempt), entry in reported.items():
@@ -253,18 +266,25 @@
         return commands
 
     def _missing(
-        self, machine: Machine, reported: dict[tuple[TaskKey, int], TaskReport], new_session: bool
+        self, machine: Machine, reported: dict[tuple[TaskKey, int], TaskReport],
+        new_session: bool, checkin: bool,
     ) -> None:
         """Tasks of ours that the report does not list. One that was listed before, or
         belonged to an earlier session, is gone. One never listed was not started: the
         worker has one report in flight, so this one is newer than whatever became of
-        the answer with the `run`."""
+        the answer with the `run`. That says nothing of a direct command without an
+        answer, nor does the answer to a direct command say it of check-ins."""
         for key in list(machine.tasks):
             task = self.tasks[key]
             if (key, task.attempt) in reported:
                 continue
-            if task.phase == "seen" or new_session or task.withdrawn or machine.retiring:
+            unsure = not checkin or (key, task.attempt) in machine.direct
+            not_wanted = task.withdrawn or machine.retiring
+            if task.phase == "seen" or new_session or (not_wanted and not unsure):
                 self._end(task)
+            elif task.withdrawn and checkin:
+                # Nothing else than its return makes sure that it does not start.
+                machine.retiring = True
 
     def _reported(
         self, machine: Machine, key: TaskKey, attempt: int, entry: TaskReport, now: float,
@@ -285,9 +305,14 @@
         if entry.state == "ended":
             if entry.why != "done":
                 log.info("%s: %s/%d attempt %d ended: %s", machine.name, *key, attempt, entry.why)
+            if (key, attempt) in machine.direct:
+                # A late `run` of a forgotten attempt would start it again.
+                forget: list[Command] = []
+            else:
+                forget = [Forget(key, attempt)]
             if task is None:
                 # The record no longer has it with us: its outcome is durable.
-                commands.append(Forget(key, attempt))
+                commands += forget
             elif mine and entry.why == "done":
                 self._finish(task, machine, now)
             elif mine:
@@ -296,13 +321,13 @@
                 if entry.why == "unknown":
                     task.not_before = now + self._settings.settings.workers.report_s
                 self._end(task)
-                commands.append(Forget(key, attempt))
+                commands += forget
             elif entry.why == "done":
                 if task.phase == "free":
                     self._leave(task, done=True)
                 # Kept until the outcome is durable: then the task leaves our record.
             else:
-                commands.append(Forget(key, attempt))
+                commands += forget
             return
         if task is None or not mine:
             commands.append(Kill(key, attempt, 0.0))
@@ -324,6 +349,33 @@
         while sum(machine.images.values()) > cache_gb and len(machine.images) > 1:
             del machine.images[next(iter(machine.images))]
 
+    # -- direct commands ------------------------------------------------------------------
+
+    def to_push(self, now: float) -> list[tuple[str, str, int, list[Command]]]:
+        """Starts that need not wait for the next check-in: (machine, address, session,
+        commands). Only to workers heard of just now; from here on the attempt may be
+        on the machine, whatever becomes of the request."""
+        result: list[tuple[str, str, int, list[Command]]] = []
+        for m in self.machines.values():
+            if not m.tasks or not m.address or not self._takes_tasks(m, now):
+                continue
+            commands: list[Command] = []
+            for key in sorted(m.tasks):
+                task = self.tasks[key]
+                if task.phase == "placed" and not task.sent and not task.withdrawn:
+                    task.sent = True
+                    m.direct.add((key, task.attempt))
+                    commands.append(Run(key, task.attempt))
+            if commands:
+                result.append((m.name, m.address, m.stamp[0], commands))
+        return result
+
+    def pushed(self, name: str, session: int, commands: list[Command]) -> None:
+        """The worker answered: the commands were executed or refused, not delayed."""
+        machine = self.machines.get(name)
+        if machine is not None and machine.stamp[0] == session:
+            machine.direct -= {(c.task, c.attempt) for c in commands}
+
     # -- time ---------------------------------------------------------------------------
 
     def gone(self, names: Iterable[str]) -> None:
--- a/ryegauge/scheduling/planner.py
+++ b/ryegauge/scheduling/planner.py
@@ -33,6 +33,10 @@
     images: set[str] = field(default_factory=set)
     ready_s: float = 0.0
     used: bool = False
+    # What its tasks will free: (seconds until then, tasks, CPUs, GB, cards of each).
+    busy: list[tuple[float, int, float, float, float]] = field(default_factory=list)
+    # A task that fits nowhere now waits for room here until then.
+    held_s: float = math.inf
 
     def fits(self, need: "Need") -> int:
         """How many of the need's tasks still fit."""
@@ -145,6 +149,7 @@
         for i, room in enumerate(rooms)
         if not (steady_only and room.spot)
         and room.cpus + EPSILON >= need.cpus
+        and need.run_s <= room.held_s
         and allowed(need, room.type.name, room.zone, room.spot)
         and room.fits(need) > 0
     ]
@@ -203,6 +208,8 @@
     refused: set[tuple[str, str, bool]]
     takeback_share: float
     takeback_threshold: float
+    # How long tasks wait for a busy machine instead of a new one, in boots.
+    patience: float = 0.5
 
 
 def plan(needs: list[Need], running: list[Room], starting: list[Room], market: Market,
@@ -235,6 +242,7 @@
             # Exception "no type in time": no new machine of any type meets the deadline,
             # so a steady one would be dearer and no earlier.
             spot = market.takeback_share < market.takeback_threshold
+        wait_for_room(need, running, market.patience * boot_s, steady_only=False)
         # What is on its way already is rented for someone; room that is left serves.
         put(need, coming, steady_only=not spot)
         while need.count > 0:
@@ -254,6 +262,34 @@
     return result
 
 
+def wait_for_room(need: Need, rooms: list[Room], horizon_s: float, *, steady_only: bool) -> None:
+    """FindRunningVM for machines that are busy now: tasks that a running machine can
+    take before a rented one would be up wait for it instead. The machine is held for
+    them: tasks that come later in the order may use it only if they end before."""
+    if not need.count or need.gang:
+        return
+    waits: list[tuple[float, int, Room]] = []
+    for i, room in enumerate(rooms):
+        if (steady_only and room.spot) or not allowed(need, room.type.name, room.zone, room.spot):
+            continue
+        cpus, memory_gb, gpus, fits = room.cpus, room.memory_gb, room.gpus, 0
+        for left_s, count, c, m, g in sorted(room.busy):
+            if left_s > horizon_s:
+                break
+            cpus, memory_gb, gpus = cpus + count * c, memory_gb + count * m, gpus + count * g
+            more = _fit(need, cpus, memory_gb, gpus) - fits
+            if more > 0:
+                waits += [(left_s, i, room)] * more
+                fits += more
+    waits.sort(key=lambda w: w[:2])
+    for left_s, _, room in waits[: need.count]:
+        # Not more than once: what waits here has taken what will be free.
+        room.busy.append((left_s, -1, need.cpus, need.memory_gb, need.gpus))
+        room.held_s = min(room.held_s, left_s)
+        room.used = True
+        need.count -= 1
+
+
 def _in_time(need: Need, market: Market, now: float) -> bool:
     """Whether some steady machine rented now would meet the deadline (Algorithm 3)."""
     return any(
--- a/ryegauge/transport/http.py
+++ b/ryegauge/transport/http.py
@@ -181,6 +181,11 @@
         except (OSError, h11.RemoteProtocolError, Malformed) as error:
             raise Unreachable(str(error)) from None
 
+    def close(self) -> None:
+        """Closes what is idle; calls under way keep their connection."""
+        while self._idle:
+            self._idle.popleft()[0].socket.close()
+
     async def _exchange(
         self, method: str, target: str, body: Any
     ) -> tuple[int, Any, float | None]:
