--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -86,7 +86,7 @@
 class Properties(msgspec.Struct, frozen=True):
     """The operators' own settings; docs/operations.md explains each."""
 
-    takeback_threshold: Share = 0.3
+    takeback_threshold: Share = 0.6
     takeback_window_s: Positive = 30.0
     # How long a machine may stand idle, as a multiple of its nominal boot time.
     idle_boots: NonNegative = 1.0
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -150,6 +150,8 @@
     def _lost(self, rented: Rented, now: float, taken: bool) -> None:
         del self.fleet[rented.name]
         self._retire.discard(rented.name)
+        # Its room may be had again.
+        self._refused.pop((rented.type, rented.zone, rented.spot), None)
         if rented.spot:
             self.takeback.ended(rented.name, now, taken)
 
@@ -171,7 +173,7 @@
         key = (rental.type, rental.zone, rental.spot)
         _, pause = self._refused.get(key, (0.0, 0.0))
         least = self._settings.settings.cloud.list_lag_s
-        pause = min(max(least, 2 * pause), 8 * least)
+        pause = min(max(least, 2 * pause), 2 * least)
         self._refused[key] = (now + pause, pause)
 
     def not_executed(self, rental: Rental) -> None:
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -39,7 +39,7 @@
 
 class Task:
     __slots__ = (
-        "attempt", "done", "errors", "key", "machine", "not_before", "phase",
+        "attempt", "done", "errors", "key", "machine", "moving", "not_before", "phase",
         "running_since", "sent", "withdrawn", "zone",
     )
 
@@ -51,6 +51,7 @@
         self.attempt = 0
         self.sent = False  # a `run` of this attempt was given
         self.withdrawn = False  # must not run (any more): cancelled, or its machine goes
+        self.moving = False  # is being stopped here to run elsewhere
         self.running_since: float | None = None
         self.not_before = 0.0
         self.done = False
@@ -84,6 +85,10 @@
         self.alive: dict[tuple[TaskKey, int], TaskReport] = {}  # as last reported
 
 
+def _of(key: TaskKey) -> tuple[str, list[TaskKey]]:
+    return key[0], [key]
+
+
 class PartOwner:
     def __init__(
         self,
@@ -184,7 +189,7 @@
         """Its attempt is over for certain; the task itself is not."""
         if task.machine is not None and (m := self.machines.get(task.machine)) is not None:
             m.tasks.discard(task.key)
-        task.machine, task.sent, task.running_since = None, False, None
+        task.machine, task.sent, task.moving, task.running_since = None, False, False, None
         if task.phase == "leaving":
             return
         if task.withdrawn:
@@ -338,6 +343,12 @@
             self._cache(machine, job.spec.image, job.spec.image_gb)
         if entry.state == "running" and task.running_since is None:
             task.running_since = now
+        if machine.notice_at is not None and self._left_s(*_of(key), now) > machine.notice_at - now:
+            # The cloud takes the machine before the task would end: it starts anew
+            # elsewhere at once instead of after the loss.
+            task.moving = True
+        if task.moving and not task.withdrawn:
+            commands.append(Kill(key, attempt, 0.0))
         if task.withdrawn:
             commands.append(Kill(key, attempt, 0.0))
 
--- a/ryegauge/scheduling/planner.py
+++ b/ryegauge/scheduling/planner.py
@@ -138,14 +138,14 @@
     """Takes room for as much of the need as fits (FindFreeSlot and FindRunningVM).
 
     The earliest completion comes first. Machines of a type differ in speed by a tenth,
-    so completions within a tenth of the path count as equal; of those, the smallest
-    machine, so that room for large tasks is kept, then the fullest, so that others
-    run empty.
+    so completions within a tenth of the path count as equal; of those, a spot machine,
+    so that the dearer steady ones run empty and are returned, the smallest machine, so
+    that room for large tasks is kept, and the fullest, so that others run empty.
     """
     grain = ALIKE * need.run_s
     taken: list[tuple[Room, int]] = []
     candidates = [
-        (_completion(need, room, grain), room.type.cpus, room.cpus, i, room)
+        (_completion(need, room, grain), not room.spot, room.type.cpus, room.cpus, i, room)
         for i, room in enumerate(rooms)
         if not (steady_only and room.spot)
         and room.cpus + EPSILON >= need.cpus
@@ -154,10 +154,10 @@
         and room.fits(need) > 0
     ]
     if need.one_zone and candidates:
-        zone = _best_zone(need, [c[4] for c in candidates])
-        candidates = [c for c in candidates if c[4].zone == zone]
-    candidates.sort(key=lambda c: c[:4])
-    for _, _, _, _, room in candidates:
+        zone = _best_zone(need, [c[5] for c in candidates])
+        candidates = [c for c in candidates if c[5].zone == zone]
+    candidates.sort(key=lambda c: c[:5])
+    for *_, room in candidates:
         if need.count <= 0:
             break
         n = room.fits(need)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -56,7 +56,7 @@
     wants: list[tuple[int, float, float, bool, str | None, bool]],
 ) -> None:
     """The plain model tries every machine anew for every single task: the earliest
-    completion (within a tenth), then the smallest type, the fullest, the first."""
+    completion (within a tenth), then spot, the smallest type, the fullest, the first."""
     rooms = []
     for i, (kind, zone, spot, used, cached) in enumerate(machines):
         r = room(f"m{i}", TYPES[kind], zone, spot)
@@ -75,7 +75,7 @@
             range(len(plain)),
             key=lambda i: (
                 (30.0 if plain[i][5] else 30.0 + 1.0 / plain[i][2].fetch_gb_per_s) // 3.0,
-                plain[i][2].cpus, plain[i][0], i,
+                not plain[i][4], plain[i][2].cpus, plain[i][0], i,
             ),
         )
         expected: dict[str, int] = {}
