--- a/ryegauge/bookkeeping/state.py
+++ b/ryegauge/bookkeeping/state.py
@@ -7,7 +7,7 @@
 import trio
 
 from ryegauge.bookkeeping.budget import Budget
-from ryegauge.transport.http import Client, Unreachable
+from ryegauge.transport.http import Caller, Unreachable
 
 # Sends a request by way of a peer; None if no peer got an answer for us.
 Relayer = Callable[[str, str, Any, float], Awaitable[tuple[int, Any] | None]]
@@ -48,7 +48,7 @@
 
 
 class StateClient:
-    def __init__(self, client: Client, rps: float, write_rps: float, nodes: int) -> None:
+    def __init__(self, client: Caller, rps: float, write_rps: float, nodes: int) -> None:
         self._client = client
         # A tenth stays unused: the service counts by its own clock.
         self.requests = Budget(0.9 * rps / nodes, 0.9 * rps / nodes)
--- a/ryegauge/cli.py
+++ b/ryegauge/cli.py
@@ -8,7 +8,8 @@
 import click
 
 from ryegauge import __version__
-from ryegauge.config import ConfigError, load, split_address
+from ryegauge.config import ConfigError, load
+from ryegauge.transport.http import split_address
 
 LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
 
@@ -59,12 +60,16 @@
         settings = load(config, properties)
     except ConfigError as error:
         _fail(str(error), 2)
+    import random
+    import time
+
     import trio
 
     from ryegauge.coordination.node import Node
+    from ryegauge.transport.http import TcpNetwork
 
     async def run() -> None:
-        await Node(settings).run()
+        await Node(settings, TcpNetwork(), time.time, random.SystemRandom()).run()
 
     try:
         trio.run(run)
--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ryegauge.transport.http import split_address
+
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -130,13 +132,6 @@
         return min(0.5 * w.lease_s, 0.9 * spare)
 
 
-def split_address(text: str) -> tuple[str, int]:
-    host, _, port = text.rpartition(":")
-    if not host or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"expected HOST:PORT, got {text!r}")
-    return host, int(port)
-
-
 def load(path: str | Path, properties: str | Path | None = None) -> Settings:
     """Reads and checks the settings; raises ConfigError with the key at fault."""
     try:
--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -4,7 +4,6 @@
 """
 
 import logging
-import time
 from collections import deque
 from collections.abc import Callable
 from typing import Any, Literal
@@ -63,6 +62,7 @@
         syncer: Syncer,
         types: Callable[[], dict[str, MachineType]],
         wrote: Callable[[int], None],
+        wall: Callable[[], float],
     ) -> None:
         self._settings = settings
         self._state = state
@@ -70,6 +70,7 @@
         self._syncer = syncer
         self._types = types
         self._wrote = wrote
+        self._wall = wall
         self._teams = {team.name: team for team in settings.settings.teams}
         self._queue: list[_Submission] = []
         self._queued = trio.Event()
@@ -125,7 +126,7 @@
             return Reply(422, {"error": why})
         if len(self._queue) >= self._queue_limit:
             return Reply(429, {"error": "too many submissions"}, 2.0)
-        submission = _Submission(spec, time.time())
+        submission = _Submission(spec, self._wall())
         self._queue.append(submission)
         self._queued.set()
         # A user waits 5 s; the writer gives up sooner and says so.
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -391,6 +391,7 @@
     def _returns(self, decided: Plan, now: float) -> list[str]:
         props = self._settings.properties
         releases: list[str] = []
+        silent_parts = self._silent_parts()
         for r in self.fleet.values():
             type_ = self.types.get(r.type)
             age = now - r.since
@@ -419,10 +420,28 @@
             ):
                 # Told first, released once its owner confirms that it stays empty.
                 self._retire.add(r.name)
-            elif self._surely_taken(view):
+            elif self._presumed_lost(view, silent_parts):
                 releases.append(r.name)
         return releases[:100]
 
-    def _surely_taken(self, view: MachineView) -> bool:
-        """Silent after its notice: most likely taken. Releasing makes it certain."""
-        return view.notice and view.silent_s > 2 * self._settings.report_gap_s
+    def _presumed_lost(self, view: MachineView, silent_parts: set[int]) -> bool:
+        """Silent for several reports: most likely taken or dead. Releasing makes that
+        certain before its lease runs out, so that its tasks can start elsewhere. Not if
+        many machines of its part are silent: then it is rather their controller that
+        does not hear them."""
+        gaps = 2 if view.notice else 3
+        return (
+            view.silent_s > gaps * self._settings.report_gap_s
+            and part_of(view.name, self._parts) not in silent_parts
+        )
+
+    def _silent_parts(self) -> set[int]:
+        result: set[int] = set()
+        for part, (view, _) in self._views.items():
+            silent = sum(
+                m.silent_s > 2 * self._settings.report_gap_s and not m.notice
+                for m in view.machines
+            )
+            if silent > max(1, len(view.machines) // 4):
+                result.add(part)
+        return result
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -1,8 +1,7 @@
 """One controller: the loops that bring what is towards what is wanted."""
 
 import logging
-import secrets
-import time
+import random
 from collections.abc import Awaitable, Callable
 
 import trio
@@ -19,7 +18,7 @@
     Unknown,
 )
 from ryegauge.bookkeeping.syncer import Syncer
-from ryegauge.config import Settings, split_address
+from ryegauge.config import Settings
 from ryegauge.coordination.frontdoor import FrontDoor
 from ryegauge.coordination.leader import Leader
 from ryegauge.coordination.part import PartOwner
@@ -49,7 +48,16 @@
 )
 from ryegauge.protocol.workers import Command, parse_report, report_reply
 from ryegauge.scheduling.planner import Rental
-from ryegauge.transport.http import Client, Malformed, Reply, Server, Unreachable, decode
+from ryegauge.transport.http import (
+    Caller,
+    Handler,
+    Malformed,
+    Network,
+    Reply,
+    Unreachable,
+    decode,
+    split_address,
+)
 
 log = logging.getLogger(__name__)
 
@@ -58,62 +66,55 @@
 
 
 class Node:
-    def __init__(self, settings: Settings) -> None:
+    def __init__(
+        self, settings: Settings, network: Network, wall: Callable[[], float], rng: random.Random
+    ) -> None:
         self._settings = settings
+        self._network = network
+        self._wall = wall
+        self._rng = rng
         shared = settings.settings
-        sockets = shared.quota.max_connections
-        state_host, state_port = split_address(settings.outside.state)
-        cloud_host, cloud_port = split_address(settings.outside.cloud)
         self._idle_s = 4 * shared.workers.lease_s
         self._state = StateClient(
-            Client(state_host, state_port, max_connections=16, idle_s=self._idle_s),
+            network.client(settings.outside.state, max_connections=16, idle_s=self._idle_s),
             shared.state.rps,
             shared.state.write_rps,
             shared.nodes,
         )
-        self._cloud = Client(cloud_host, cloud_port, max_connections=8, idle_s=self._idle_s)
+        self._cloud = network.client(
+            settings.outside.cloud, max_connections=8, idle_s=self._idle_s
+        )
         # Only the leader calls the cloud; a new one may follow an old one closely.
         self._cloud_budget = Budget(0.8 * shared.cloud.rps, shared.cloud.rps)
-        self._peers = {}
-        for peer in settings.known:
-            host, port = split_address(peer.peer_addr)
-            self._peers[peer.node_name] = Client(
-                host, port, max_connections=4, idle_s=self._idle_s
+        self._peers = {
+            peer.node_name: network.client(
+                peer.peer_addr, max_connections=4, idle_s=self._idle_s
             )
+            for peer in settings.known
+        }
         self._report_s = shared.workers.report_s
         self.book = JobBook()
         self._syncer = Syncer(
             self._state, self.book, idle_s=min(0.5, self._report_s / 2), timeout_s=1.0
         )
         self._term = Term(
-            settings, self._state, self.book, self._syncer, lambda: secrets.token_hex(6)
+            settings, self._state, self.book, self._syncer, lambda: self._unique(48)
         )
         self._state.use_relay(self._relay, patience_s=settings.term_s / 5)
         self._types: dict[str, MachineType] = {}
         self._front = FrontDoor(
-            settings, self._state, self.book, self._syncer, lambda: self._types, self._wrote
+            settings, self._state, self.book, self._syncer, lambda: self._types, self._wrote,
+            wall,
         )
         self._owned: dict[int, PartOwner] = {}
         self._leader: Leader | None = None
-        self._workers: dict[str, Client] = {}
+        self._workers: dict[str, Caller] = {}
         self._placed = trio.Event()
         self._changed = trio.Event()  # something that owners or the leader should look at
         self._to_tell: int = 0  # revision that the peers should read
         self._tell = trio.Event()
         self.book.on_job.append(self._on_job)
         self._syncer.on_sync.append(self._on_sync)
-        self._public = Server(
-            self._handle_public,
-            max_connections=int(0.8 * sockets),
-            idle_s=self._idle_s,
-            request_s=5.0,
-        )
-        self._mesh = Server(
-            self._handle_peer,
-            max_connections=int(0.1 * sockets),
-            idle_s=2 * self._idle_s,
-            request_s=5.0,
-        )
 
     async def run(self) -> None:
         loops: list[Callable[[], Awaitable[None]]] = [
@@ -136,8 +137,22 @@
         async with trio.open_nursery() as nursery:
             for loop in loops:
                 nursery.start_soon(self._guarded, loop)
-            nursery.start_soon(self._public.serve, *split_address(self._settings.listen))
-            nursery.start_soon(self._mesh.serve, *split_address(self._settings.mesh_addr))
+            nursery.start_soon(self._serve, self._settings.listen, self._handle_public, 0.8)
+            nursery.start_soon(self._serve, self._settings.mesh_addr, self._handle_peer, 0.1)
+
+    async def _serve(self, address: str, handler: Handler, share: float) -> None:
+        sockets = self._settings.settings.quota.max_connections
+        await self._network.serve(
+            address,
+            handler,
+            max_connections=int(share * sockets),
+            # Peers call less often than anybody; a pause must not look like a loss.
+            idle_s=2 * self._idle_s,
+            request_s=self._settings.settings.workers.lease_s / 2,
+        )
+
+    def _unique(self, bits: int) -> str:
+        return f"{self._rng.getrandbits(bits):x}"
 
     async def _guarded(self, loop: Callable[[], Awaitable[None]]) -> None:
         """A controller never ends by itself: a loop that fails begins again."""
@@ -201,7 +216,7 @@
                     nursery.start_soon(self._send, client, message)
 
     async def _send(
-        self, client: Client, message: list[object], timeout_s: float = 0.0
+        self, client: Caller, message: list[object], timeout_s: float = 0.0
     ) -> object:
         try:
             status, answer, _ = await client.request(
@@ -211,7 +226,7 @@
             return None
         return answer if status == 200 else None
 
-    async def _ask(self, client: Client, message: Message, timeout_s: float = 0.0) -> object:
+    async def _ask(self, client: Caller, message: Message, timeout_s: float = 0.0) -> object:
         answer = await self._send(client, to_wire(message), timeout_s)
         if answer is None:
             return None
@@ -243,7 +258,7 @@
             voters: dict[str, str] = {}
 
             async def ask(
-                name: str, client: Client, voters: dict[str, str] = voters
+                name: str, client: Caller, voters: dict[str, str] = voters
             ) -> None:
                 answer = await self._ask(client, self._vow())
                 if isinstance(answer, VowAnswer):
@@ -317,7 +332,7 @@
                 await trio.sleep(0.05)
                 continue
             for owner in self._owned.values():
-                owner.tick(now, time.time())
+                owner.tick(now, self._wall())
             self._placed.set()
             await trio.sleep(0.02)
 
@@ -355,11 +370,11 @@
             if report.token <= owner.token:
                 owner.on_report(report, trio.current_time(), checkin=False)
 
-    def _worker_client(self, address: str) -> Client:
+    def _worker_client(self, address: str) -> Caller:
         client = self._workers.pop(address, None)
         if client is None:
-            host, port = split_address(address)
-            client = Client(host, port, max_connections=2, idle_s=self._idle_s)
+            split_address(address)  # raises ValueError for what is none
+            client = self._network.client(address, max_connections=2, idle_s=self._idle_s)
         self._workers[address] = client  # the latest used is last
         if len(self._workers) > self._settings.settings.quota.max_connections // 8:
             self._workers.pop(next(iter(self._workers))).close()
@@ -465,7 +480,7 @@
             now = trio.current_time()
             if leader is None or not self._term.valid(now):
                 continue
-            wanted = leader.round(now, time.time())
+            wanted = leader.round(now, self._wall())
             async with trio.open_nursery() as nursery:
                 if wanted.releases:
                     nursery.start_soon(self._release, leader, wanted.releases)
@@ -524,7 +539,7 @@
             return
         body = {
             # Never used again, by us or another: a fresh random name.
-            "hire": f"{self._settings.node_name}-{secrets.token_hex(8)}",
+            "hire": f"{self._settings.node_name}-{self._unique(64)}",
             "build": rental.type,
             "district": rental.zone,
             "loaners": rental.spot,
--- a/ryegauge/transport/http.py
+++ b/ryegauge/transport/http.py
@@ -5,7 +5,7 @@
 import math
 from collections import deque
 from collections.abc import Awaitable, Callable
-from typing import Any, NamedTuple
+from typing import Any, NamedTuple, Protocol
 
 import cbor2
 import h11
@@ -34,6 +34,49 @@
 Handler = Callable[[str, str, bytes], Awaitable[Reply]]
 
 
+class Caller(Protocol):
+    """Whatever requests can be made with: a Client, or a stand-in."""
+
+    async def request(
+        self, method: str, target: str, body: Any = None, *, timeout_s: float
+    ) -> tuple[int, Any, float | None]: ...
+
+    def close(self) -> None: ...
+
+
+class Network(Protocol):
+    """Where calls go to and come from. Real sockets, or a simulation of them."""
+
+    def client(self, address: str, *, max_connections: int, idle_s: float) -> Caller: ...
+
+    async def serve(
+        self, address: str, handler: Handler, *, max_connections: int, idle_s: float,
+        request_s: float,
+    ) -> None: ...
+
+
+def split_address(text: str) -> tuple[str, int]:
+    host, _, port = text.rpartition(":")
+    if not host or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"expected HOST:PORT, got {text!r}")
+    return host, int(port)
+
+
+class TcpNetwork:
+    def client(self, address: str, *, max_connections: int, idle_s: float) -> "Client":
+        host, port = split_address(address)
+        return Client(host, port, max_connections=max_connections, idle_s=idle_s)
+
+    async def serve(
+        self, address: str, handler: Handler, *, max_connections: int, idle_s: float,
+        request_s: float,
+    ) -> None:
+        server = Server(
+            handler, max_connections=max_connections, idle_s=idle_s, request_s=request_s
+        )
+        await server.serve(*split_address(address))
+
+
 def decode(data: bytes) -> Any:
     stream = io.BytesIO(data)
     try:
--- /dev/null
+++ b/tests/test_world.py
@@ -0,0 +1,239 @@
+"""Whole controllers in a simulated world, under failures drawn from seeds."""
+
+import os
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+import trio.testing
+from conftest import settings_text
+from world import Attempt, World, play
+
+from ryegauge.config import Settings, load
+
+
+@pytest.fixture
+def controllers(tmp_path: Path) -> list[Settings]:
+    result = []
+    for n in range(3):
+        path = tmp_path / f"{n}.toml"
+        path.write_text(settings_text(n))
+        result.append(load(path))
+    return result
+
+
+MIX: list[dict[str, Any]] = [
+    {"pieces": 6, "delay": 1.0},
+    {"pieces": 12, "cpus": 1.0, "urgency": "high", "delay": 5.0, "crew": "blue", "dueS": 60.0},
+    {"pieces": 9, "delay": 12.0, "really": 15.0, "kit": "img-2"},
+    {"pieces": 4, "delay": 20.0, "together": True, "crew": "blue"},
+    {"pieces": 4, "delay": 25.0, "spread": True, "crew": "blue", "cancel_after": 40.0},
+    {"pieces": 2, "delay": 8.0, "shape": "standing", "expectS": 0.0, "dueS": None,
+     "loaners": False, "cpus": 1.0, "cancel_after": 60.0},
+    {"pieces": 16, "delay": 40.0, "cancel_after": 12.0, "really": 30.0},
+    {"pieces": 5, "delay": 45.0, "builds": ["small"], "district": "b", "crew": "blue"},
+    {"pieces": 20, "delay": 60.0, "cpus": 4.0, "really": 12.0},
+]
+
+
+async def quiet(world: World) -> None:
+    return
+
+
+def test_a_quiet_day_finishes_everything(controllers: list[Settings]) -> None:
+    world = play(controllers, 1, MIX, quiet, 150.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    assert world.checker.starts >= 70
+
+
+def test_same_seed_same_day(controllers: list[Settings]) -> None:
+    days = [play(controllers, 5, MIX[:3], quiet, 30.0) for _ in range(2)]
+    assert days[0].checker.starts == days[1].checker.starts
+    assert days[0].state.revision == days[1].state.revision
+
+
+async def trouble(world: World) -> None:
+    """Failures one over another, as the seed has it."""
+    rng = world.rng
+    hosts = {f"10.0.0.{n + 1}" for n in range(3)}
+
+    async def one() -> None:
+        lasts = rng.uniform(3.0, 25.0)
+        some = {rng.choice(sorted(hosts))}
+        alive = sorted(w.name for w in world.workers.values() if w.alive and w.up)
+        kind = rng.choice(
+            ["crash", "crash", "crash_all", "outage", "outage", "from_state", "from_workers",
+             "from_peers", "from_all", "die", "notice", "hang", "sick", "machine_cut", "cloud"]
+        )
+        hold = rng.random() < 0.6
+        if kind == "crash":
+            world.crash(rng.randrange(3))
+        elif kind == "crash_all":
+            world.crash(0, 1, 2)
+        elif kind == "outage":
+            world.state.outage = True
+            await trio.sleep(lasts)
+            world.state.end_outage()
+        elif kind == "cloud":
+            world.cloud.outage = True
+            await trio.sleep(lasts)
+            world.cloud.outage = False
+        elif kind in ("from_state", "from_workers", "from_peers", "from_all"):
+            workers = set(world.workers)
+            others = {
+                "from_state": {"10.2.0.1"},
+                "from_workers": workers,
+                "from_peers": hosts - some,
+                "from_all": {"10.2.0.1", "10.2.0.2", "users"} | workers | (hosts - some),
+            }[kind]
+            with world.cut(some, others, hold):
+                await trio.sleep(lasts)
+        elif alive:
+            worker = world.workers[rng.choice(alive)]
+            if kind == "die":
+                worker.die()
+            elif kind == "notice":
+                worker.notice_at = trio.current_time() + 6.0
+                worker.changed.set()
+                await trio.sleep(6.0)
+                worker.die()
+            elif kind == "hang":
+                worker.hung_until = trio.current_time() + lasts
+            elif kind == "sick":
+                worker.faulty = True
+            else:
+                with world.cut({worker.name}, hosts, hold):
+                    await trio.sleep(lasts)
+
+    async with trio.open_nursery() as nursery:
+        for _ in range(9):
+            await trio.sleep(rng.uniform(1.0, 18.0))
+            nursery.start_soon(one)
+
+
+# More seeds for a longer look: RYEGAUGE_SEEDS=100 pytest tests/test_world.py
+@pytest.mark.parametrize("seed", range(int(os.environ.get("RYEGAUGE_SEEDS", "5"))))
+def test_rules_hold_under_combined_failures(controllers: list[Settings], seed: int) -> None:
+    world = play(controllers, seed, MIX, trouble, 260.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+
+
+async def crash_within_outage(world: World) -> None:
+    await trio.sleep(40.0)
+    world.state.outage = True
+    await trio.sleep(6.0)
+    world.crash(0, 1, 2)
+    await trio.sleep(6.0)
+    world.state.end_outage()
+
+
+def test_all_controllers_crash_within_a_state_outage(controllers: list[Settings]) -> None:
+    world = play(controllers, 3, MIX, crash_within_outage, 170.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+
+
+def lost_sessions(world: World) -> int:
+    return sum(w.session - 1 for w in world.workers.values())
+
+
+def test_tasks_live_through_an_outage_longer_than_a_term(controllers: list[Settings]) -> None:
+    """Found by measurement: terms were shorter than outages, and every lease ran out.
+    The controllers' vows keep their authority while the service answers nobody."""
+
+    async def outage(world: World) -> None:
+        await trio.sleep(40.0)
+        world.state.outage = True
+        await trio.sleep(30.0)
+        world.state.end_outage()
+
+    world = play(controllers, 2, MIX, outage, 170.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    assert lost_sessions(world) == 0
+
+
+def test_a_controller_refused_alone_is_carried_by_its_peers(controllers: list[Settings]) -> None:
+    async def cut_off(world: World) -> None:
+        await trio.sleep(40.0)
+        with world.cut({"10.0.0.1"}, {"10.2.0.1"}, hold=False):
+            await trio.sleep(30.0)
+
+    world = play(controllers, 4, MIX, cut_off, 170.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    assert lost_sessions(world) == 0
+
+
+def test_a_crashed_controllers_tasks_are_kept(controllers: list[Settings]) -> None:
+    async def crash(world: World) -> None:
+        await trio.sleep(45.0)
+        world.crash(1)
+
+    world = play(controllers, 6, MIX, crash, 120.0)
+    assert world.checker.broken == []
+    assert lost_sessions(world) == 0
+
+
+# -- the checker itself ------------------------------------------------------------------
+
+
+@pytest.mark.parametrize(
+    "rule",
+    ["ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "invented",
+     "not_done", "went_back"],
+)
+def test_each_rules_checker_can_fail(controllers: list[Settings], rule: str) -> None:
+    """The world is made to break each rule by hand, and the checker says so."""
+
+    async def scenario() -> list[str]:
+        world = World(controllers, 0)
+        checker = world.checker
+        async with trio.open_nursery() as nursery:
+            world.nursery = nursery
+            for _ in range(2):
+                world.rent("large", "a", True)
+            one, two = world.workers.values()
+            spec = {
+                "crew": "red", "cpus": 2.0, "pieces": 4, "builds": None, "district": None,
+                "loaners": True, "together": False, "spread": False,
+            }
+            checker.specs["wk-1"] = spec
+            one.tasks["wk-1/0"] = Attempt(1, "running")
+            checker.started(one, "wk-1/0")
+            assert checker.broken == []
+            match rule:
+                case "ran_twice":
+                    two.tasks["wk-1/0"] = Attempt(2, "running")
+                    checker.started(two, "wk-1/0")
+                case "quota":
+                    spec["cpus"] = 40.0
+                    checker.started(one, "wk-1/0")
+                case "wrong_place":
+                    spec["district"] = "b"
+                    checker.started(one, "wk-1/0")
+                case "ran_cancelled":
+                    checker.cancelled_at["wk-1"] = trio.current_time()
+                    await trio.sleep(36.0)
+                    checker.check_cancelled("wk-1/0")
+                case "forgotten":
+                    checker.answered("wk-1", 201, {"status": "queued"}, "submit")
+                    checker.answered("wk-1", 404, None, "poll")
+                case "invented":
+                    checker.answered("wk-9", 200, {"status": "queued"}, "poll")
+                case "not_done":
+                    checker.answered("wk-1", 200, {"status": "done"}, "poll")
+                case "went_back":
+                    world.results = {f"wk-1/{i}" for i in range(4)}
+                    checker.answered("wk-1", 200, {"status": "done"}, "poll")
+                    checker.answered("wk-1", 200, {"status": "running"}, "poll")
+            nursery.cancel_scope.cancel()
+        return checker.broken
+
+    broken = trio.run(scenario, clock=trio.testing.MockClock(autojump_threshold=0))
+    assert [line.split()[1].rstrip(":") for line in broken] == [rule]
+
+
