--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -26,6 +26,7 @@
     Room,
     place,
     plan,
+    standby_rule,
     whole_room,
 )
 from ryegauge.scheduling.takeback import TakebackShare
@@ -206,7 +207,9 @@
             takeback_threshold=self._settings.properties.takeback_threshold,
             patience=self._settings.properties.patience_boots,
         )
-        decided = plan(needs, running, self._starting(now), market, wall)
+        decided = plan(
+            needs, running, self._starting(now), market, wall, self._critical(now, wall)
+        )
         if now - self._logged_at > 10:
             self._logged_at = now
             waiting = sum(len(job.open_tasks) for job in jobs.values())
@@ -260,6 +263,28 @@
                 rooms.append(room)
         return rooms
 
+    def _critical(self, now: float, wall: float) -> dict[str, list[Need]]:
+        """By spot machine, the tasks that get a standby."""
+        result: dict[str, list[Need]] = {}
+        boot_s = min((t.boot_s for t in self.types.values()), default=0.0)
+        objectives = self._settings.settings.objectives
+        for view in self._fresh_views(now):
+            for m in view.machines:
+                if not m.spot:
+                    continue
+                for uid, flat, left_s in m.tasks:
+                    job = self._book.jobs.get(uid)
+                    if job is None or job.over or job.spec.kind == "standing":
+                        continue
+                    finish = latest_finish(job, objectives)
+                    if finish < wall or not standby_rule(left_s, boot_s, finish, wall):
+                        continue
+                    need = make_need(
+                        job, len(Ranges.from_flat(flat)), None, self.estimates, finish
+                    )
+                    result.setdefault(m.name, []).append(need)
+        return result
+
     def _in_transit(self, running: list[Room]) -> None:
         """What is allotted to a part and on none of its machines yet takes room there."""
         placed: dict[tuple[str, int], int] = {}
--- a/ryegauge/scheduling/planner.py
+++ b/ryegauge/scheduling/planner.py
@@ -212,8 +212,37 @@
     patience: float = 0.5
 
 
-def plan(needs: list[Need], running: list[Room], starting: list[Room], market: Market,
-         now: float) -> Plan:
+def standby_rule(run_left_s: float, boot_s: float, latest_finish: float, now: float) -> bool:
+    """EFT + one boot reaches LFT: there is no time for a new machine after a loss."""
+    return now + run_left_s + boot_s >= latest_finish
+
+
+def hold_standbys(
+    critical: dict[str, list[Need]], running: list[Room], coming: list[Room]
+) -> list[Need]:
+    """Holds room for the tasks without time for a new machine, on running machines that
+    do not hold them, else on starting ones; returns what found none.
+
+    Room is held, nothing runs there: two runs of a task at once would break a rule.
+    One machine is taken at a time, so its standbys' room serves those of the others
+    (backup overloading): what the fullest machine needs is held."""
+    if not critical:
+        return []
+    name = max(sorted(critical), key=lambda m: sum(n.cpus * n.count for n in critical[m]))
+    others = [room for room in (*running, *coming) if room.name != name]
+    for need in critical[name]:
+        place(need, others, steady_only=False)
+    return [need for need in critical[name] if need.count > 0]
+
+
+def plan(
+    needs: list[Need],
+    running: list[Room],
+    starting: list[Room],
+    market: Market,
+    now: float,
+    critical: dict[str, list[Need]] | None = None,
+) -> Plan:
     """One round, needs in their order of precedence."""
     result = Plan()
     rented: dict[tuple[str, str, bool], int] = {}
@@ -245,18 +274,9 @@
         wait_for_room(need, running, market.patience * boot_s, steady_only=False)
         # What is on its way already is rented for someone; room that is left serves.
         put(need, coming, steady_only=not spot)
-        while need.count > 0:
-            room_type = _choose(need, market, spot, now)
-            if room_type is None:
-                break
-            type_, zone = room_type
-            key = (type_.name, zone, spot)
-            rented[key] = rented.get(key, 0) + 1
-            room = whole_room(type_, f"new-{len(coming)}", zone, spot)
-            room.ready_s = type_.boot_s
-            coming.append(room)
-            if not place(need, [room], steady_only=False):
-                break
+        _rent(need, market, spot, now, coming, rented)
+    for need in hold_standbys(critical or {}, running, coming):
+        _rent(need, market, True, now, coming, rented)
     result.rentals = [Rental(t, z, s, n) for (t, z, s), n in rented.items()]
     result.used = {room.name for room in (*running, *coming) if room.used}
     return result
@@ -303,6 +323,25 @@
     )
 
 
+def _rent(
+    need: Need, market: Market, spot: bool, now: float, coming: list[Room],
+    rented: dict[tuple[str, str, bool], int],
+) -> None:
+    """New machines for what is left of a need; their spare room serves later needs."""
+    while need.count > 0:
+        room_type = _choose(need, market, spot, now)
+        if room_type is None:
+            return
+        type_, zone = room_type
+        key = (type_.name, zone, spot)
+        rented[key] = rented.get(key, 0) + 1
+        room = whole_room(type_, f"new-{len(coming)}", zone, spot)
+        room.ready_s = type_.boot_s
+        coming.append(room)
+        if not place(need, [room], steady_only=False):
+            return
+
+
 def _choose(
     need: Need, market: Market, spot: bool, now: float
 ) -> tuple[MachineType, str] | None:
--- /dev/null
+++ b/tests/test_part.py
@@ -0,0 +1,238 @@
+"""One part's owner, message by message: what must never be commanded."""
+
+import pytest
+from conftest import job_body
+
+from ryegauge.bookkeeping.jobbook import JobBook, job_key, job_record, share_key
+from ryegauge.bookkeeping.state import Event
+from ryegauge.config import Settings
+from ryegauge.coordination.part import PartOwner
+from ryegauge.protocol.cloud import MachineType
+from ryegauge.protocol.jobs import parse_job
+from ryegauge.protocol.workers import Command, Forget, Kill, Report, Run, TaskReport
+
+TYPES = {"small": MachineType("small", 4.0, 16.0, 0.4, 10.0, ["a"], spot_price=0.1)}
+UID = "wk-000001"
+TOKEN = 50
+
+
+class Part:
+    """An owner with its book, a clock and one job of four tasks of two CPUs."""
+
+    def __init__(self, settings: Settings, before: list[int]) -> None:
+        self.book = JobBook()
+        self.revision = 10
+        self.now = 100.0
+        self.put(job_key(UID), job_record(parse_job(job_body()), 0.0, False))
+        self.allot(before)
+        self.owner = PartOwner(0, TOKEN, self.book, settings, lambda: TYPES, self.now)
+        self.book.on_job.append(self.owner.on_job)
+        self.seq = 0
+
+    def put(self, key: str, value: object) -> None:
+        self.revision += 1
+        self.book.apply([Event(key, value, self.revision)], self.revision)
+
+    def allot(self, tasks: list[int], done: list[int] | None = None) -> None:
+        flat = [bound for i in tasks for bound in (i, i + 1)]
+        finished = [bound for i in done or [] for bound in (i, i + 1)]
+        self.put(share_key(UID, 0), {"t": {"": flat}, "d": finished})
+
+    def cancel(self) -> None:
+        self.put(job_key(UID), job_record(parse_job(job_body()), 0.0, True))
+
+    def report(
+        self, *tasks: tuple[int, int, str], machine: str = "m-1", token: int = TOKEN,
+        session: int = 1, seq: int | None = None, checkin: bool = True, why: str = "done",
+    ) -> list[Command]:
+        if seq is None:
+            self.seq += 1
+            seq = self.seq
+        entries = [
+            TaskReport(f"{UID}/{i}", attempt, state, why if state == "ended" else None)  # type: ignore[arg-type]
+            for i, attempt, state in tasks
+        ]
+        message = Report(machine, "small", "a", True, session, seq, token, "m:1", None, entries)
+        return self.owner.on_report(message, self.now, checkin)
+
+    def tick(self, seconds: float = 0.0) -> None:
+        self.now += seconds
+        self.owner.tick(self.now, self.now)
+
+    def phase(self, task: int) -> str:
+        return self.owner.tasks[(UID, task)].phase
+
+    def start(self, task: int) -> int:
+        """Allots one task and has the machine told to run it; returns the attempt."""
+        self.report()
+        self.allot([task])
+        self.tick()
+        (command,) = self.report()
+        assert isinstance(command, Run)
+        return command.attempt
+
+
+@pytest.fixture
+def part(settings: Settings) -> Part:
+    return Part(settings, [])
+
+
+def test_tasks_of_an_earlier_token_wait_for_the_barrier(settings: Settings) -> None:
+    part = Part(settings, [0, 1])
+    part.report()
+    for _ in range(9):
+        part.tick(1.0)
+        part.report()
+    assert [part.phase(0), part.phase(1)] == ["unseen", "unseen"]
+    part.report((1, 7, "running"))
+    assert part.phase(1) == "seen"
+    part.tick(1.5)
+    assert part.phase(0) == "placed"
+    # What came after the token was never anywhere.
+    part.allot([0, 1, 2])
+    part.tick()
+    assert part.phase(2) != "unseen"
+
+
+def test_an_answered_machine_that_has_not_seen_the_token_holds_the_barrier(
+    settings: Settings,
+) -> None:
+    """Its lease was renewed by the answer, with whatever it runs."""
+    part = Part(settings, [0])
+    part.report(machine="m-2")
+    part.tick(9.0)
+    assert part.report((0, 3, "running"), token=TOKEN - 1) == []
+    part.report(machine="m-2")
+    part.tick(2.0)
+    part.report(machine="m-2")
+    part.tick()
+    assert part.phase(0) == "unseen"
+    part.tick(8.5)
+    assert part.phase(0) != "unseen"
+
+
+def test_a_lost_answer_repeats_the_same_attempt(part: Part) -> None:
+    attempt = part.start(0)
+    assert part.report() == [Run((UID, 0), attempt)]
+    assert part.report((0, attempt, "running")) == []
+
+
+def test_old_reports_change_nothing(part: Part) -> None:
+    attempt = part.start(0)
+    part.report((0, attempt, "running"))
+    assert part.report(seq=1) == []
+    assert part.phase(0) == "seen"
+
+
+def test_forget_waits_until_the_outcome_is_in_the_book(part: Part) -> None:
+    attempt = part.start(0)
+    assert part.report((0, attempt, "ended")) == []
+    assert part.owner.pending()[UID].done.flat() == [0, 1]
+    assert part.report((0, attempt, "ended")) == []
+    part.allot([], done=[0])
+    assert part.report((0, attempt, "ended")) == [Forget((UID, 0), attempt)]
+
+
+def test_a_silent_machines_tasks_wait_for_its_lease(part: Part) -> None:
+    attempt = part.start(0)
+    part.report((0, attempt, "running"))
+    for _ in range(10):
+        part.tick(1.0)
+        part.report(machine="m-2", seq=part.seq + 1)
+        part.seq += 1
+    assert part.owner.tasks[(UID, 0)].machine == "m-1"
+    part.tick(0.5)
+    assert part.owner.tasks[(UID, 0)].machine == "m-2"
+    # Its late report, sent in the session that has ended, brings nothing back.
+    assert part.report((0, attempt, "running"), seq=900) == []
+    assert part.owner.tasks[(UID, 0)].machine == "m-2"
+
+
+def test_a_release_frees_the_tasks_at_once(part: Part) -> None:
+    attempt = part.start(0)
+    part.report((0, attempt, "running"))
+    part.report(machine="m-2")
+    part.owner.gone(["m-1"])
+    part.tick()
+    assert part.owner.tasks[(UID, 0)].machine == "m-2"
+    assert part.owner.tasks[(UID, 0)].attempt != attempt
+
+
+def test_a_later_session_frees_the_tasks(part: Part) -> None:
+    attempt = part.start(0)
+    part.report((0, attempt, "running"))
+    part.report(session=2)
+    part.tick()
+    assert part.owner.tasks[(UID, 0)].attempt != attempt
+
+
+def test_handing_back_is_final(part: Part) -> None:
+    """A removal may be executed late, and then others have the task."""
+    part.report()
+    part.allot([0, 1, 2, 3])
+    part.tick()
+    assert sorted(part.phase(i) for i in range(4)) == ["leaving", "leaving", "placed", "placed"]
+    part.report(machine="m-2")
+    part.tick(1.0)
+    assert sorted(part.phase(i) for i in range(4)) == ["leaving", "leaving", "placed", "placed"]
+
+
+def test_cancelled_tasks_leave_only_when_surely_gone(part: Part) -> None:
+    attempt = part.start(0)
+    part.cancel()
+    assert part.owner.pending() == {}
+    # The `run` may have been executed after this report was sent... it is newer.
+    assert part.report((0, attempt, "fetching")) == [Kill((UID, 0), attempt, 0.0)]
+    assert part.owner.pending() == {}
+    part.report((0, attempt, "ended"), why="stopped")
+    assert part.owner.pending()[UID].tasks.flat() == []
+
+
+def test_an_unanswered_direct_start_is_in_flight_for_the_session(part: Part) -> None:
+    """Packets held by a cut are delivered minutes later: reports that do not list the
+    attempt prove nothing, and forgetting it would let a late `run` start it again."""
+    part.report()
+    part.allot([0])
+    part.tick()
+    ((name, _, session, commands),) = part.owner.to_push(part.now)
+    attempt = commands[0].attempt
+    part.cancel()
+    part.report()
+    assert part.owner.pending() == {}
+    assert part.owner.machines["m-1"].retiring
+    part.report((0, attempt, "ended"), why="stopped")
+    assert part.owner.pending()[UID].tasks.flat() == []
+    part.allot([])
+    assert part.report((0, attempt, "ended"), why="stopped") == []
+    part.owner.pushed(name, session, commands)
+    assert part.report((0, attempt, "ended"), why="stopped") == [Forget((UID, 0), attempt)]
+
+
+def test_a_direct_answer_renews_no_lease(part: Part) -> None:
+    attempt = part.start(0)
+    part.report((0, attempt, "running"))
+    part.now += 6.0
+    part.report((0, attempt, "running"), checkin=False)
+    part.tick(4.5)
+    assert part.owner.tasks[(UID, 0)].machine is None
+
+
+def test_faulty_machines_and_faulty_jobs(part: Part) -> None:
+    """A machine that fails twice in a row gets no more; a job that fails on several
+    machines is retried more slowly, and does not bring down every machine."""
+    attempt = part.start(0)
+    part.report((0, attempt, "ended"), why="error")
+    assert part.owner.machines["m-1"].strikes == 1
+    for name in ("m-2", "m-3", "m-4"):
+        part.now += 61.0
+        part.report(machine=name)
+        part.tick()
+        task = part.owner.tasks[(UID, 0)]
+        assert task.machine == name
+        part.report((0, task.attempt, "ended"), machine=name, why="error")
+        assert task.not_before > part.now
+    assert part.owner.machines["m-4"].strikes == 0
+    # Two different jobs' tasks failing in a row are the machine's fault.
+    machine = part.owner.machines["m-4"]
+    machine.strikes = 2
+    assert not part.owner.view("node-0", part.now).machines[-1].open
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -144,3 +144,29 @@
     for r, n in spread:
         per_zone[r.zone] = per_zone.get(r.zone, 0) + n
     assert per_zone == {"a": 3, "b": 2}
+
+
+def test_standbys_hold_room_elsewhere_and_share_it() -> None:
+    """What the fullest machine needs is held once, never on that machine, and a
+    machine is rented if there is no room; nothing is placed."""
+    critical = {"m1": [need(2)], "m2": [need(1)]}
+    rooms = [room("m1"), room("m2")]
+    rooms[1].cpus = 4.0
+    result = plan([], rooms, [], market(), 0.0, critical)
+    assert result.placements == []
+    assert result.rentals == []
+    assert result.used == {"m2"}
+    assert rooms[0].cpus == 4.0
+    critical = {"m1": [need(2)], "m2": [need(1)]}
+    result = plan([], [room("m1")], [], market(), 0.0, critical)
+    assert [(r.type, r.spot, r.count) for r in result.rentals] == [("small", True, 1)]
+
+
+def test_tasks_wait_for_room_that_comes_before_a_new_machine() -> None:
+    busy = room("m1")
+    busy.cpus = 0.0
+    busy.busy = [(5.0, 2, 2.0, 4.0, 0.0)]
+    result = plan([need(3)], [busy], [], market(), 0.0)
+    assert [(r.type, r.count) for r in result.rentals] == [("small", 1)]
+    # What comes later in the order may use the machine only if it ends before.
+    assert not place(need(1, run_s=30.0), [busy], steady_only=False)
