--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -33,6 +33,9 @@
 
 log = logging.getLogger(__name__)
 
+# A task is stopped for others only in this first share of its run.
+PREEMPT_SHARE = 0.25
+
 
 class Rented:
     """A machine as the cloud knows it."""
@@ -53,6 +56,16 @@
         self.idle_since: float | None = None
 
 
+@dataclass(slots=True)
+class Victim:
+    """Tasks of one job on one machine that may be stopped for others."""
+
+    elapsed_s: float
+    machine: MachineView
+    job: Job
+    count: int
+
+
 @dataclass(slots=True)
 class Round:
     """What a round wants done."""
@@ -80,6 +93,8 @@
         self._refused: dict[tuple[str, str, bool], tuple[float, float]] = {}
         self._gone: dict[str, float] = {}
         self._retire: set[str] = set()
+        self._evict: list[tuple[str, str, int]] = []
+        self._evicted_at = -math.inf
         self.estimates = Estimates()
         self.takeback = TakebackShare(settings.properties.takeback_window_s)
 
@@ -105,7 +120,9 @@
                 rented.idle_since = None
         mine = [name for name in self._gone if part_of(name, self._parts) == view.part]
         retire = [name for name in self._retire if part_of(name, self._parts) == view.part]
-        return PartOrders(self._book.ledger, retire, mine)
+        evict = [e for e in self._evict if part_of(e[0], self._parts) == view.part]
+        self._evict = [e for e in self._evict if e not in evict]
+        return PartOrders(self._book.ledger, retire, mine, evict)
 
     # -- what the cloud says -----------------------------------------------------------
 
@@ -225,6 +242,7 @@
         if self.listed_once:
             result.rentals = decided.rentals
         result.releases = self._returns(decided, now)
+        self._preempt(decided, jobs, now, wall)
         return result
 
     def _fresh_views(self, now: float) -> list[PartView]:
@@ -413,6 +431,88 @@
         # Boots take up to 1.5 times the nominal time as a rule, some several times.
         return 3.0 * type_.boot_s
 
+    def _preempt(
+        self, decided: Plan, jobs: dict[str, Job], now: float, wall: float
+    ) -> None:
+        """Makes room for what goes first: work within its team's guarantee may stop
+        work that another team runs beyond its own; higher priority may stop lower.
+
+        Only tasks that have just begun are stopped, so that little is lost, of jobs that
+        still have time for another run on a new machine, and no more than the waiting
+        ones need. The room shows in the next views; until then no
+        further task is stopped."""
+        if now - self._evicted_at < self._settings.report_gap_s:
+            return
+        within = self._within_guarantee()
+        beyond = self._beyond_guarantee()
+        victims = self._victims(now, wall)
+        for uid, count in decided.unplaced:
+            job = jobs[uid]
+            rank = PRIORITIES.index(job.spec.priority)
+            if zone_limits(job) is not None or job.spec.types is not None or job.spec.gpus:
+                continue
+            for victim in victims:
+                if count <= 0:
+                    break
+                spec = victim.job.spec
+                if (
+                    victim.count <= 0
+                    or victim.job is job
+                    or (victim.machine.spot and not job.spec.spot)
+                ):
+                    continue
+                lower = PRIORITIES.index(spec.priority) > rank
+                claims = (
+                    uid in within
+                    and spec.uid not in within
+                    and spec.team != job.spec.team
+                    and spec.team in beyond
+                )
+                if not (lower or claims) or spec.uid in within:
+                    continue
+                each = min(
+                    (job.spec.cpus and spec.cpus / job.spec.cpus) or 1.0,
+                    (job.spec.memory_gb and spec.memory_gb / job.spec.memory_gb) or 1.0,
+                )
+                if each < 1.0:
+                    continue
+                stop = min(victim.count, math.ceil(count / int(each)))
+                machine = victim.machine.name
+                self._evict.append((machine, spec.uid, stop))
+                victim.count -= stop
+                count -= stop * int(each)
+                self._evicted_at = now
+                log.info("stopping %d of %s on %s for %s", stop, spec.uid, machine, uid)
+
+    def _beyond_guarantee(self) -> set[str]:
+        used: dict[str, float] = {}
+        for job in self._book.jobs.values():
+            team = job.spec.team
+            used[team] = used.get(team, 0.0) + job.allotted_count * job.spec.cpus
+        return {name for name, team in self._teams.items() if used.get(name, 0.0) > team.cpus}
+
+    def _victims(self, now: float, wall: float) -> list[Victim]:
+        """What has just begun and has slack for a boot and a run, the shortest run first."""
+        result: list[Victim] = []
+        boot_s = max((t.boot_s for t in self.types.values()), default=0.0)
+        objectives = self._settings.settings.objectives
+        for view in self._fresh_views(now):
+            for m in view.machines:
+                if not m.open:
+                    continue
+                for uid, flat, left_s in m.tasks:
+                    job = self._book.jobs.get(uid)
+                    if job is None or job.over or job.spec.kind != "sweep":
+                        continue
+                    run_s = self.estimates.run_s(job.spec.job_class, job.spec.estimate_s)
+                    elapsed = run_s - left_s
+                    slack = latest_finish(job, objectives) - wall - run_s
+                    if elapsed < PREEMPT_SHARE * run_s and slack > boot_s:
+                        count = len(Ranges.from_flat(flat))
+                        result.append(Victim(elapsed, m, job, count))
+        result.sort(key=lambda v: (v.elapsed_s, v.machine.name, v.job.spec.uid))
+        return result
+
     def _returns(self, decided: Plan, now: float) -> list[str]:
         props = self._settings.properties
         releases: list[str] = []
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -428,6 +428,8 @@
                 if isinstance(orders, PartOrders):
                     owner.gone(orders.gone)
                     owner.retire(orders.retire)
+                    for machine, uid, count in orders.evict:
+                        owner.evict(machine, uid, count)
                     if orders.ledger > self.book.ledger:
                         self._syncer.poke()
             with trio.move_on_after(min(0.5, self._report_s / 4)):
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -407,6 +407,17 @@
                     if task.phase == "placed" and not task.sent:
                         self._end(task)
 
+    def evict(self, machine: str, uid: str, count: int) -> None:
+        """Stops the latest started of a job's tasks on a machine, for work that goes
+        first. They are handed back once they have surely ended."""
+        if (m := self.machines.get(machine)) is None:
+            return
+        running = [self.tasks[key] for key in m.tasks if key[0] == uid]
+        running = [t for t in running if t.phase == "seen" and not t.withdrawn]
+        running.sort(key=lambda t: (-(t.running_since or math.inf), t.key))
+        for task in running[:count]:
+            task.withdrawn = True
+
     def tick(self, now: float, wall: float) -> None:
         for machine in list(self.machines.values()):
             if now > machine.heard_at + self.lease_s:
--- a/ryegauge/protocol/peers.py
+++ b/ryegauge/protocol/peers.py
@@ -62,6 +62,8 @@
     retire: list[str]
     # Released with certainty: nothing is on them any more.
     gone: list[str]
+    # Stop some of a job's tasks on a machine and hand them back: (machine, uid, tasks).
+    evict: list[tuple[str, str, int]] = []
 
 
 class Vow(msgspec.Struct, frozen=True, array_like=True, tag="vow"):
--- a/ryegauge/scheduling/planner.py
+++ b/ryegauge/scheduling/planner.py
@@ -105,6 +105,8 @@
 class Plan:
     placements: list[Placement] = field(default_factory=list)
     rentals: list[Rental] = field(default_factory=list)
+    # What found no room on running machines, in order: (job, tasks).
+    unplaced: list[tuple[str, int]] = field(default_factory=list)
     # Machines that the plan counts on, starting ones included.
     used: set[str] = field(default_factory=set)
 
@@ -260,6 +262,7 @@
             result.placements.append(Placement(need.uid, count, room.name, room.part, room.zone))
         if need.count <= 0:
             continue
+        result.unplaced.append((need.uid, need.count))
         boot_s = max((t.boot_s for t in market.types.values()), default=0.0)
         spot = (
             ahead
--- a/ryegauge/transport/http.py
+++ b/ryegauge/transport/http.py
@@ -91,6 +91,17 @@
 encode = cbor2.dumps
 
 
+async def answer(handler: Handler, method: str, target: str, body: bytes) -> Reply:
+    """What a handler says, or what its failure means to the caller."""
+    try:
+        return await handler(method, target, body)
+    except Malformed as error:
+        return Reply(400, {"error": str(error)})
+    except Exception:
+        log.exception("a request failed")
+        return Reply(503, {"error": "internal error"}, 2.0)
+
+
 class Server:
     """Serves one address; a broken or slow connection costs only itself."""
 
@@ -136,15 +147,9 @@
             if body is None:
                 await _send(conn, stream, Reply(400, {"error": "body over 64 KiB"}), close=True)
                 return
-            try:
-                reply = await self._handler(
-                    request.method.decode("ascii"), request.target.decode("ascii"), body
-                )
-            except Malformed as error:
-                reply = Reply(400, {"error": str(error)})
-            except Exception:
-                log.exception("a request failed")
-                reply = Reply(503, {"error": "internal error"}, 2.0)
+            reply = await answer(
+                self._handler, request.method.decode("ascii"), request.target.decode("ascii"), body
+            )
             with trio.move_on_after(self._request_s):
                 await _send(conn, stream, reply)
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
@@ -275,12 +280,12 @@
                     raise h11.RemoteProtocolError("closed before the response")
             assert response is not None
             data = b"".join(parts)
-            answer = decode(data) if data else None
+            content = decode(data) if data else None
             if conn.our_state is h11.DONE and conn.their_state is h11.DONE:
                 conn.start_next_cycle()
                 self._idle.append((stream, conn, trio.current_time() + self._idle_s))
                 keep = True
-            return response.status_code, answer, _retry_after(response)
+            return response.status_code, content, _retry_after(response)
         finally:
             if not keep:
                 await trio.aclose_forcefully(stream)
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,97 @@
+"""The server against broken, slow and greedy connections, in memory."""
+
+import h11
+import pytest
+import trio
+import trio.testing
+
+from ryegauge.transport.http import BODY_LIMIT, Reply, Server, decode, encode
+
+
+async def _echo(method: str, target: str, body: bytes) -> Reply:
+    if target == "/fail":
+        raise RuntimeError("a bug")
+    return Reply(200, {"method": method, "body": decode(body) if body else None})
+
+
+def talk(*chunks: bytes | float, request_s: float = 5.0) -> list[tuple[int, bytes]]:
+    """Sends bytes (numbers are pauses) on one connection; returns the answers."""
+    answers: list[tuple[int, bytes]] = []
+
+    async def main() -> None:
+        ours, theirs = trio.testing.memory_stream_pair()
+        server = Server(_echo, max_connections=4, idle_s=30.0, request_s=request_s)
+
+        async def read() -> None:
+            conn = h11.Connection(h11.CLIENT)
+            conn.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+            conn.send(h11.EndOfMessage())
+            status = 0
+            while True:
+                try:
+                    event = conn.next_event()
+                except h11.RemoteProtocolError:
+                    return  # closed instead of an answer
+                if event is h11.NEED_DATA:
+                    conn.receive_data(await ours.receive_some())
+                elif isinstance(event, h11.Response):
+                    status = event.status_code
+                    answers.append((status, b""))
+                elif isinstance(event, h11.Data):
+                    answers[-1] = (status, answers[-1][1] + bytes(event.data))
+                elif isinstance(event, h11.EndOfMessage):
+                    if conn.their_state is not h11.DONE:
+                        return
+                    conn.start_next_cycle()
+                    conn.send(h11.Request(method="GET", target="/", headers=[("host", "x")]))
+                    conn.send(h11.EndOfMessage())
+                else:
+                    return
+
+        with trio.move_on_after(100.0):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(server._connection, theirs)
+                nursery.start_soon(read)
+                for chunk in chunks:
+                    if isinstance(chunk, float):
+                        await trio.sleep(chunk)
+                    else:
+                        try:
+                            await ours.send_all(chunk)
+                        except trio.BrokenResourceError:
+                            break
+        assert server._free == 4
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+    return answers
+
+
+def post(body: bytes, target: str = "/x") -> bytes:
+    head = f"POST {target} HTTP/1.1\r\nhost: x\r\ncontent-length: {len(body)}\r\n\r\n"
+    return head.encode() + body
+
+
+def test_a_connection_is_kept_for_further_requests() -> None:
+    answers = talk(post(encode([1])), 0.1, post(encode([2])))
+    assert [(s, decode(b)["body"]) for s, b in answers] == [(200, [1]), (200, [2])]
+
+
+@pytest.mark.parametrize(
+    ("chunk", "status"),
+    [
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET / HTTP/1.1\r\n" + b"x" * 40_000, 431),
+        (post(b"\xff\xff"), 400),
+        (post(b"x" * (BODY_LIMIT + 1)), 400),
+        (post(b"", "/fail"), 503),
+        (b"POST / HTTP/1.1\r\nhost: x\r\ncontent-length: -4\r\n\r\n", 400),
+    ],
+)
+def test_what_cannot_be_taken_costs_one_connection(chunk: bytes, status: int) -> None:
+    assert [s for s, _ in talk(chunk)] == [status]
+
+
+def test_slow_and_half_open_connections_are_closed() -> None:
+    slow = post(encode("late"))
+    assert talk(slow[:20], 1.0, slow[20:30], 60.0, slow[30:]) == []
+    assert talk(60.0) == []
--- /dev/null
+++ b/tests/test_leader.py
@@ -0,0 +1,206 @@
+"""The leader's decisions, with parts and cloud described by hand."""
+
+import pytest
+from conftest import job_body
+
+from ryegauge.bookkeeping.jobbook import JobBook, Share, job_key, job_record, share_key
+from ryegauge.bookkeeping.state import Event
+from ryegauge.config import Settings
+from ryegauge.coordination.leader import Leader
+from ryegauge.coordination.needs import never_runs
+from ryegauge.coordination.parting import part_of
+from ryegauge.protocol.cloud import ListedMachine, MachineType
+from ryegauge.protocol.jobs import parse_job
+from ryegauge.protocol.peers import MachineView, PartView
+
+SMALL = MachineType("small", 4.0, 16.0, 0.4, 10.0, ["a", "b"], spot_price=0.1)
+NOW = 1000.0
+
+
+class Lead:
+    def __init__(self, settings: Settings) -> None:
+        self.book = JobBook()
+        self.revision = 0
+        for part in range(3):
+            self.put(f"r/p/{part}", {"o": "node-0", "i": "x"})
+        self.leader = Leader(9, self.book, settings, NOW)
+        self.leader.types = {"small": SMALL}
+        self.leader.on_list([], NOW)
+        self.machines: dict[str, MachineView] = {}
+        self.now = NOW
+
+    def put(self, key: str, value: object) -> None:
+        self.revision += 1
+        self.book.apply([Event(key, value, self.revision)], self.revision)
+
+    def job(self, uid: str, **changes: object) -> None:
+        self.put(job_key(uid), job_record(parse_job(job_body(uid, **changes)), self.now, False))
+
+    def allot(self, uid: str, part: int, tasks: list[int], zone: str = "") -> None:
+        flat = [bound for i in tasks for bound in (i, i + 1)]
+        self.put(share_key(uid, part), {"t": {zone: flat}, "d": []})
+
+    def machine(self, name: str, zone: str = "a", **changes: object) -> None:
+        fields: dict[str, object] = {
+            "name": name, "type": "small", "zone": zone, "spot": True, "open": True,
+            "empty": True, "silent_s": 0.0, "notice": False, "retiring": False,
+            "images": [], "tasks": [],
+        }
+        self.machines[name] = MachineView(**{**fields, **changes})  # type: ignore[arg-type]
+
+    def views(self) -> list[tuple[str, str, int]]:
+        evicted = []
+        for part in range(3):
+            mine = [m for n, m in self.machines.items() if part_of(n, 3) == part]
+            token = self.book.parts[part].token
+            view = PartView("node-0", part, token, self.revision, mine)
+            evicted += self.leader.on_view(view, self.now).evict
+        return evicted
+
+    def round(self) -> dict[str, int]:
+        """Tasks newly allotted, by job."""
+        self.views()
+        result: dict[str, int] = {}
+        self.last = self.leader.round(self.now, self.now)
+        for (uid, part), share in self.last.allotments.items():
+            old = self.book.jobs[uid].shares.get(part)
+            before = 0 if old is None else len(old.tasks)
+            result[uid] = result.get(uid, 0) + len(share.tasks) - before
+        return result
+
+
+@pytest.fixture
+def lead(settings: Settings) -> Lead:
+    return Lead(settings)
+
+
+def test_a_teams_limit_counts_everything_allotted(lead: Lead) -> None:
+    """Team red may use 32 CPUs: what is on a lost part, unseen or stopping counts."""
+    for i in range(12):
+        lead.machine(f"m-{i}")
+    lead.job("wk-000001", pieces=10)
+    lead.allot("wk-000001", 0, list(range(9)))
+    lead.job("wk-000002", pieces=30)
+    allotted = lead.round()
+    assert sum(allotted.values()) == 7
+    spec = parse_job(job_body("wk-000001", pieces=10))
+    lead.put(job_key("wk-000001"), job_record(spec, NOW, True))
+    assert sum(lead.round().values()) == 7
+
+
+def test_no_task_is_allotted_twice(lead: Lead) -> None:
+    for i in range(6):
+        lead.machine(f"m-{i}")
+    lead.job("wk-000001", pieces=6)
+    lead.allot("wk-000001", 0, [0, 2])
+    lead.put(share_key("wk-000001", 1), {"t": {}, "d": [4, 5]})
+    lead.round()
+    given: list[int] = []
+    for (uid, part), share in lead.last.allotments.items():
+        old = lead.book.jobs[uid].shares.get(part, Share({}, share.done - share.done, 0))
+        given += [i for i in share.tasks if i not in old.tasks]
+    assert sorted(given) == [1, 3, 5]
+
+
+@pytest.mark.parametrize(
+    ("field", "expected"), [("together", {"a": 4}), ("spread", {"a": 2, "b": 2})]
+)
+def test_zones_of_a_job(lead: Lead, field: str, expected: dict[str, int]) -> None:
+    for i in range(3):
+        lead.machine(f"m-{i}", zone="a")
+    lead.machine("m-9", zone="b")
+    lead.job("wk-000001", **{field: True})
+    lead.round()
+    zones: dict[str, int] = {}
+    for share in lead.last.allotments.values():
+        for zone, tasks in share.allotted.items():
+            zones[zone] = zones.get(zone, 0) + len(tasks)
+    assert zones == expected
+
+
+def test_a_zone_once_chosen_stays(lead: Lead) -> None:
+    lead.machine("m-1", zone="b")
+    lead.job("wk-000001", together=True)
+    lead.allot("wk-000001", 0, [0], zone="a")
+    assert lead.round() == {}
+
+
+def test_what_never_boots_is_released(lead: Lead) -> None:
+    listed = ListedMachine("m-1", "small", "a", True, "starting", 5.0)
+    lead.leader.on_list([listed], lead.now)
+    lead.round()
+    assert lead.last.releases == []
+    lead.now += 31.0
+    lead.leader.on_list([listed], lead.now)
+    lead.round()
+    assert lead.last.releases == ["m-1"]
+
+
+def test_idle_machines_are_returned_after_their_owner_agrees(lead: Lead) -> None:
+    lead.machine("m-1")
+    lead.round()
+    lead.now += 61.0
+    lead.round()
+    assert lead.last.releases == []
+    lead.round()
+    assert lead.last.releases == ["m-1"]
+    lead.leader.released(["m-1"], lead.now)
+    part = part_of("m-1", 3)
+    view = PartView("node-0", part, lead.book.parts[part].token, lead.revision, [])
+    assert lead.leader.on_view(view, lead.now).gone == ["m-1"]
+
+
+def test_silent_machines_are_released_unless_many_are_silent(lead: Lead) -> None:
+    """A taken machine's tasks start anew once its release is certain. If a whole part
+    is silent, its owner is cut off, and releasing would lose everything."""
+    names = [f"m-{i}" for i in range(60) if part_of(f"m-{i}", 3) == 0][:12]
+    for name in names:
+        lead.machine(name, empty=False)
+    lead.machine(names[0], empty=False, open=False, silent_s=5.0)
+    lead.round()
+    assert lead.last.releases == [names[0]]
+    for name in names[:6]:
+        lead.machine(name, empty=False, open=False, silent_s=5.0)
+    lead.round()
+    assert lead.last.releases == []
+
+
+def test_rentals_under_way_are_counted_on(lead: Lead) -> None:
+    lead.job("wk-000001")
+    lead.round()
+    (rental,) = lead.last.rentals
+    lead.leader.renting(rental, lead.now)
+    lead.round()
+    assert lead.last.rentals == []
+    lead.leader.rented(rental, ["m-1", "m-2"], lead.now)
+    lead.round()
+    assert lead.last.rentals == []
+
+
+def test_work_within_its_guarantee_stops_what_others_run_beyond_theirs(lead: Lead) -> None:
+    """Only what has just begun is stopped, and not for work of the same team."""
+    lead.job("wk-000001", crew="blue", pieces=12, cpus=4.0)  # beyond blue's 8 CPUs
+    flat = list(range(12))
+    lead.allot("wk-000001", 0, flat)
+    for i in range(12):
+        left_s = 19.0 if i == 3 else 5.0
+        lead.machine(f"m-{i}", empty=False, tasks=[("wk-000001", [i, i + 1], left_s)])
+    lead.job("wk-000002", pieces=1)
+    lead.round()
+    assert lead.views() == [("m-3", "wk-000001", 1)]
+    lead.round()
+    assert lead.views() == []
+
+
+def test_jobs_that_never_run(settings: Settings) -> None:
+    teams = {team.name: team for team in settings.settings.teams}
+    types = {"small": SMALL}
+    cases = [
+        ({}, False), ({"crew": "green"}, True), ({"cpus": 5.0}, True),
+        ({"memoryGb": 17.0}, True), ({"builds": ["large"]}, True), ({"district": "c"}, True),
+        ({"cards": 1.0}, True), ({"pieces": 100, "cpus": 4.0}, False),
+        ({"pieces": 9, "cpus": 4.0, "shape": "standing"}, True),
+    ]
+    for changes, never in cases:
+        spec = parse_job(job_body(**changes))
+        assert (never_runs(spec, types, teams) is not None) == never, changes
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -7,7 +7,7 @@
 import pytest
 import trio
 import trio.testing
-from conftest import settings_text
+from conftest import job_body, settings_text
 from world import Attempt, World, play
 
 from ryegauge.config import Settings, load
@@ -178,6 +178,50 @@
     assert lost_sessions(world) == 0
 
 
+def test_answers_at_the_edges(controllers: list[Settings]) -> None:
+    """400, 422, 404 and 503 at once; a known job is answered with its state whatever
+    the retry says, and never with an older state by another controller."""
+    got: dict[str, tuple[int, Any]] = {}
+    took: dict[str, float] = {}
+
+    async def edges(world: World) -> None:
+        await trio.sleep(30.0)
+
+        async def ask(name: str, method: str, path: str, body: Any = None) -> None:
+            began = trio.current_time()
+            got[name] = await world.ask(method, path, body)
+            took[name] = trio.current_time() - began
+
+        jobs = "/v1/jobs"
+        await ask("map", "POST", jobs, [1])
+        await ask("missing", "POST", jobs, {"uid": "wk-777"})
+        await ask("never", "POST", jobs, job_body("wk-778", cpus=99.0))
+        await ask("known, malformed", "POST", jobs, {"uid": "wk-000001", "cpus": "x"})
+        await ask("known, never", "POST", jobs, job_body("wk-000001", cpus=99.0))
+        await ask("unknown", "GET", f"{jobs}/wk-779")
+        await ask("cancel unknown", "POST", f"{jobs}/wk-779/cancel")
+        await ask("cancel done", "POST", f"{jobs}/wk-000001/cancel")
+        await ask("path", "GET", "/v2")
+        await ask("report", "POST", "/checkin", {"host": "m-1"})
+        world.state.outage = True
+        await ask("poll in outage", "GET", f"{jobs}/wk-000001")
+        await ask("unknown in outage", "GET", f"{jobs}/wk-779")
+        await ask("submit in outage", "POST", jobs, job_body("wk-780"))
+        await ask("never in outage", "POST", jobs, job_body("wk-781", cpus=99.0))
+
+    world = play(controllers, 8, MIX[:1], edges, 45.0)
+    assert world.checker.broken == []
+    statuses = {name: status for name, (status, _) in got.items()}
+    assert statuses == {
+        "map": 400, "missing": 400, "never": 422, "known, malformed": 200,
+        "known, never": 200, "unknown": 404, "cancel unknown": 404, "cancel done": 200,
+        "path": 404, "report": 400, "poll in outage": 503, "unknown in outage": 503,
+        "submit in outage": 503, "never in outage": 503,
+    }
+    assert got["cancel done"][1]["status"] == "done"
+    assert max(took.values()) < 2.0
+
+
 # -- the checker itself ------------------------------------------------------------------
 
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -18,6 +18,7 @@
 from ryegauge.config import Settings
 from ryegauge.coordination.node import Node
 from ryegauge.transport.http import Handler, Reply, Unreachable, decode, encode
+from ryegauge.transport.http import answer as respond
 
 WALL = 1_700_000_000.0
 CAPACITY = {("small", True): 6, ("small", False): 3, ("large", True): 2, ("large", False): 1}
@@ -170,7 +171,7 @@
                 answer.append(Reply(-1))
                 done.set()
                 return
-            reply = await handler(method, target, payload)
+            reply = await respond(handler, method, target, payload)
             await self._pass(host, source)
             answer.append(reply)
             done.set()
