--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -91,7 +91,7 @@
     takeback_threshold: Share = 0.6
     takeback_window_s: Positive = 30.0
     # How long a machine may stand idle, as a multiple of its nominal boot time.
-    idle_boots: NonNegative = 1.0
+    idle_boots: NonNegative = 0.5
     # How long a task waits for a busy machine rather than have one rented, likewise.
     patience_boots: NonNegative = 0.5
     # What deleting a machine costs at least; an idle one is kept that long.
