--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -33,9 +33,13 @@
 
 log = logging.getLogger(__name__)
 
-# A task is stopped for others only in this first share of its run: with a quarter,
-# what was lost outweighed what was gained (docs/design.md).
-PREEMPT_SHARE = 0.05
+# A task is stopped for others only in this first share of its run.
+PREEMPT_SHARE = 0.25
+# Stopping others at once, for whatever waits, lost more than it gained
+# (docs/design.md): priority stops others from two steps down, and a guarantee is
+# enforced once its job has waited for so many boots.
+PREEMPT_STEPS = 2
+PREEMPT_BOOTS = 2.0
 
 
 class Rented:
@@ -435,8 +439,9 @@
     def _preempt(
         self, decided: Plan, jobs: dict[str, Job], now: float, wall: float
     ) -> None:
-        """Makes room for what goes first: work within its team's guarantee may stop
-        work that another team runs beyond its own; higher priority may stop lower.
+        """Makes room for what goes first: work within its team's guarantee that has
+        waited for longer than boots explain may stop work that another team runs beyond
+        its own; much higher priority may stop lower.
 
         Only tasks that have just begun are stopped, so that little is lost, of jobs that
         still have time for another run on a new machine, and no more than the waiting
@@ -462,9 +467,10 @@
                     or (victim.machine.spot and not job.spec.spot)
                 ):
                     continue
-                lower = PRIORITIES.index(spec.priority) > rank
+                lower = PRIORITIES.index(spec.priority) >= rank + PREEMPT_STEPS
                 claims = (
                     uid in within
+                    and wall - job.submitted_at > PREEMPT_BOOTS * self._longest_boot_s
                     and spec.uid not in within
                     and spec.team != job.spec.team
                     and spec.team in beyond
@@ -485,6 +491,10 @@
                 self._evicted_at = now
                 log.info("stopping %d of %s on %s for %s", stop, spec.uid, machine, uid)
 
+    @property
+    def _longest_boot_s(self) -> float:
+        return max((t.boot_s for t in self.types.values()), default=0.0)
+
     def _beyond_guarantee(self) -> set[str]:
         used: dict[str, float] = {}
         for job in self._book.jobs.values():
@@ -495,7 +505,7 @@
     def _victims(self, now: float, wall: float) -> list[Victim]:
         """What has just begun and has slack for a boot and a run, the shortest run first."""
         result: list[Victim] = []
-        boot_s = max((t.boot_s for t in self.types.values()), default=0.0)
+        boot_s = self._longest_boot_s
         objectives = self._settings.settings.objectives
         for view in self._fresh_views(now):
             for m in view.machines:
