--- a/run.py
+++ b/run.py
@@ -8,13 +8,26 @@
 from pathlib import Path
 
 _ROOT = Path(__file__).resolve().parent
-sys.path.insert(0, str(_ROOT / "target" / "deps"))
-sys.path.insert(0, str(_ROOT))
-
-from ryegauge.cli import main  # noqa: E402
+sys.path[:0] = [str(_ROOT), str(_ROOT / "target" / "deps")]
 
 if __name__ == "__main__":
     arguments = sys.argv[1:]
-    if arguments[:1] == ["--config"]:
-        arguments = ["serve", *arguments]
-    main(arguments, prog_name="ryegauge")
+    if len(arguments) == 2 and arguments[0] == "--config":
+        # The libraries bring their compiled files; ours are made by the build, so that
+        # a start does not compile them: workers' leases run out meanwhile.
+        import cbor2  # noqa: F401
+        import h11  # noqa: F401
+        import msgspec  # noqa: F401
+        import trio  # noqa: F401
+
+        sys.pycache_prefix = str(_ROOT / "target" / "pycache")
+        from ryegauge.service import serve
+
+        sys.pycache_prefix = None
+        serve(arguments[1])
+    else:
+        from ryegauge.cli import main
+
+        if arguments[:1] == ["--config"]:
+            arguments = ["serve", *arguments]
+        main(arguments, prog_name="ryegauge")
--- a/ryegauge/cli.py
+++ b/ryegauge/cli.py
@@ -1,7 +1,6 @@
 """The command line: serve, check-config, and submit, status and cancel for users."""
 
-import logging
-import os
+import json
 import sys
 from typing import Any, NoReturn
 
@@ -11,8 +10,6 @@
 from ryegauge.config import ConfigError, load
 from ryegauge.transport.http import split_address
 
-LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
-
 _config = click.option("--config", required=True, type=click.Path(), help="Settings file (TOML).")
 _properties = click.option(
     "--properties",
@@ -39,44 +36,14 @@
     sys.exit(code)
 
 
-def _log_to_stderr() -> None:
-    name = os.environ.get("LOG_LEVEL", "info").lower()
-    if name not in LEVELS:
-        _fail(f"LOG_LEVEL: expected one of {', '.join(LEVELS)}, got {name!r}", 2)
-    logging.basicConfig(
-        stream=sys.stderr,
-        level=LEVELS[name],
-        format="%(asctime)s %(levelname)s %(name)s: %(message)s",
-    )
-
-
 @main.command()
 @_config
 @_properties
 def serve(config: str, properties: str | None) -> None:
     """Run a controller until it is killed."""
-    _log_to_stderr()
-    try:
-        settings = load(config, properties)
-    except ConfigError as error:
-        _fail(str(error), 2)
-    import random
-    import time
+    from ryegauge.service import serve as run
 
-    import trio
-
-    from ryegauge.coordination.node import Node
-    from ryegauge.transport.http import TcpNetwork
-
-    async def run() -> None:
-        await Node(settings, TcpNetwork(), time.time, random.SystemRandom()).run()
-
-    try:
-        trio.run(run)
-    except KeyboardInterrupt:
-        sys.exit(130)
-    except OSError as error:
-        _fail(f"cannot listen on {settings.listen} and {settings.mesh_addr}: {error}", 1)
+    run(config, properties)
 
 
 @main.command("check-config")
@@ -116,8 +83,6 @@
 
 
 def _show(status: int, answer: Any) -> None:
-    import json
-
     click.echo(json.dumps(answer))
     if status not in (200, 201):
         _fail(f"status {status}", 1)
@@ -128,8 +93,6 @@
 @click.argument("job", type=click.File("rb"))
 def submit(server: str, job: Any) -> None:
     """Submit the job in the JSON file JOB (- for standard input)."""
-    import json
-
     try:
         body = json.load(job)
     except ValueError as error:
--- /dev/null
+++ b/ryegauge/service.py
@@ -0,0 +1,56 @@
+"""Running a controller until it is killed; kept free of what only the command line needs,
+since a controller that starts again races against its workers' leases."""
+
+import logging
+import os
+import sys
+from typing import NoReturn
+
+import trio
+
+from ryegauge.config import ConfigError, load
+from ryegauge.coordination.node import Node
+from ryegauge.transport.http import TcpNetwork
+
+LEVELS = {"error": logging.ERROR, "info": logging.INFO, "debug": logging.DEBUG}
+
+
+def fail(message: str, code: int) -> NoReturn:
+    print(f"ryegauge: {message}", file=sys.stderr)
+    sys.exit(code)
+
+
+def _log_to_stderr() -> None:
+    name = os.environ.get("LOG_LEVEL", "info").lower()
+    if name not in LEVELS:
+        fail(f"LOG_LEVEL: expected one of {', '.join(LEVELS)}, got {name!r}", 2)
+    logging.basicConfig(
+        stream=sys.stderr,
+        level=LEVELS[name],
+        format="%(asctime)s %(levelname)s %(name)s: %(message)s",
+    )
+
+
+def serve(config: str, properties: str | None = None) -> None:
+    """Exit code 2: the settings cannot be used; 1: the addresses cannot be listened on."""
+    _log_to_stderr()
+    try:
+        settings = load(config, properties)
+    except ConfigError as error:
+        fail(str(error), 2)
+    import random
+    import time
+
+    async def run() -> None:
+        await Node(settings, TcpNetwork(), time.time, random.SystemRandom()).run()
+
+    stopped: list[BaseException] = []
+    try:
+        trio.run(run)
+    except* (KeyboardInterrupt, OSError) as group:
+        stopped += group.exceptions
+    if any(isinstance(error, KeyboardInterrupt) for error in stopped):
+        sys.exit(130)
+    if stopped:
+        why = str(stopped[0])
+        fail(f"cannot listen on {settings.listen} and {settings.mesh_addr}: {why}", 1)
