--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -7,7 +7,7 @@
 import trio
 
 from ryegauge.bookkeeping.budget import Budget
-from ryegauge.bookkeeping.jobbook import JobBook, Share, job_key, share_key
+from ryegauge.bookkeeping.jobbook import JobBook, Share, final_key, job_key, share_key
 from ryegauge.bookkeeping.state import (
     Conflict,
     Delete,
@@ -61,6 +61,9 @@
 
 log = logging.getLogger(__name__)
 
+# Jobs kept in the book, for each MB that a controller may use.
+JOBS_PER_MB = 10
+
 # Errors after which a write is tried again from the newest state of the book.
 RETRY = (Conflict, Gone, Unavailable, Unknown)
 
@@ -131,6 +134,7 @@
             self._probe_state,
             self._tell_peers,
             self._lead,
+            self._archive,
             self._watch_catalog,
             self._watch_fleet,
         ]
@@ -522,6 +526,37 @@
             except Unavailable:
                 return
 
+    async def _archive(self) -> None:
+        """Moves the oldest jobs that are over out of the book, which every controller
+        holds in memory, to records that are read when asked for. Kept for good."""
+        limit = int(JOBS_PER_MB * self._settings.settings.quota.memory_mb)
+        while True:
+            await trio.sleep(self._settings.settings.workers.lease_s)
+            leader = self._leader
+            excess = len(self.book.jobs) - limit
+            if leader is None or excess <= 0 or not self._term.valid(trio.current_time()):
+                continue
+            over = [j for j in self.book.jobs.values() if j.over and not j.allotted_count]
+            over.sort(key=lambda job: job.submitted_at)
+            for job in over[:excess]:
+                uid = job.spec.uid
+                view = job.view()
+                guards = {LEADER_KEY: leader.token, job_key(uid): job.version}
+                changes: list[Put | Delete] = [
+                    Put(final_key(uid), {"st": view["status"], "d": view["done"]}),
+                    Delete(job_key(uid)),
+                ]
+                for part in range(self._settings.settings.nodes):
+                    share = job.shares.get(part)
+                    guards[share_key(uid, part)] = 0 if share is None else share.version
+                    if share is not None:
+                        changes.append(Delete(share_key(uid, part)))
+                try:
+                    self._wrote(await self._state.commit(guards, changes, timeout_s=1.0))
+                except RETRY as error:
+                    log.debug("archiving %s failed: %s", uid, error)
+                    break
+
     async def _refence(self, leader: Leader) -> None:
         while self._leader is leader:
             try:
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -31,6 +31,9 @@
 
 log = logging.getLogger(__name__)
 
+# Machines given up whose late reports are still recognised.
+REMEMBERED = 10_000
+
 # unseen: allotted before this token; may run on a machine not heard from yet.
 # free: on no machine for certain. placed: its `run` is wanted, never reported.
 # seen: reported alive. leaving: over or handed back; waits to be written.
@@ -394,10 +397,15 @@
         for name in names:
             machine = self.machines.pop(name, None)
             if machine is not None:
-                self._stamps[name] = (math.inf, math.inf)
+                self._gave_up(name, (math.inf, math.inf))
                 for key in list(machine.tasks):
                     self._end(self.tasks[key])
 
+    def _gave_up(self, name: str, stamp: tuple[float, float]) -> None:
+        self._stamps[name] = stamp
+        if len(self._stamps) > REMEMBERED:
+            del self._stamps[next(iter(self._stamps))]
+
     def retire(self, names: Iterable[str]) -> None:
         for name in names:
             if (machine := self.machines.get(name)) is not None:
@@ -424,7 +432,7 @@
                 # Its lease has run out: it killed everything and begins a new session.
                 for key in list(machine.tasks):
                     self._end(self.tasks[key])
-                self._stamps[machine.name] = (machine.stamp[0], math.inf)
+                self._gave_up(machine.name, (machine.stamp[0], math.inf))
                 del self.machines[machine.name]
         # A machine that was answered but has not reported under this token yet had
         # its lease renewed, with whatever is on it.
--- a/ryegauge/coordination/terms.py
+++ b/ryegauge/coordination/terms.py
@@ -56,6 +56,7 @@
         self._claimed_at = float("-inf")
         self._vowed_from = float("-inf")
         self._voters: dict[str, str] = {}  # who vowed, and as which incarnation
+        self._greeted: dict[str, str] = {}
         self._vowed_until: dict[str, float] = {}  # what we vowed ourselves
         # Vows that a predecessor of this process gave have run out by then.
         self._quiet_until = trio.current_time() + self._ttl_s
@@ -83,7 +84,10 @@
 
     def vowed(self, asked_at: float, voters: dict[str, str], now: float) -> None:
         """All others vowed. Counts only if authority has not lapsed since."""
-        if self.valid(now) and set(voters) == {n for n in self._names if n != self._name}:
+        # A voter that has started anew meanwhile has forgotten its vow.
+        remembered = all(self._greeted.get(n, i) == i for n, i in voters.items())
+        everybody = set(voters) == {n for n in self._names if n != self._name}
+        if self.valid(now) and everybody and remembered:
             self._vowed_from = asked_at
             self._voters = voters
 
@@ -102,6 +106,7 @@
 
     def welcome(self, node: str, incarnation: str) -> None:
         """A peer has started anew and remembers no vow of its predecessor."""
+        self._greeted[node] = incarnation
         if self._voters.get(node, incarnation) != incarnation:
             self._vowed_from = float("-inf")
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 import trio
 import trio.testing
@@ -222,6 +223,25 @@
     assert max(took.values()) < 2.0
 
 
+def test_jobs_that_left_the_book_are_answered_for_good(controllers: list[Settings]) -> None:
+    """With room for two jobs in the book, the others' records are moved when over;
+    users go on asking, submitting again and cancelling."""
+    small = []
+    for settings in controllers:
+        quota = msgspec.structs.replace(settings.settings.quota, memory_mb=0.2)
+        shared = msgspec.structs.replace(settings.settings, quota=quota)
+        small.append(msgspec.structs.replace(settings, settings=shared))
+
+    async def crash(world: World) -> None:
+        await trio.sleep(100.0)
+        world.crash(0, 2)
+
+    world = play(small, 9, MIX, crash, 170.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    assert sum(key.startswith("f/") for key in world.state.data) >= 5
+
+
 # -- the checker itself ------------------------------------------------------------------
 
 
