--- a/ryegauge/bookkeeping/jobbook.py
+++ b/ryegauge/bookkeeping/jobbook.py
@@ -4,10 +4,20 @@
 Keys: `r/n/NODE` live controllers, `r/p/PART` part owners, `r/l` the leader,
 `r/c/TYPE` machine types, `r/j/UID` jobs, `r/j/UID/PART` what a part was given of a
 job and what of it is done; outside the copy, `f/UID` jobs that are over.
+
+Not known to versions before pipelines, which pass over them: `r/w/UID/DIGEST/N` the
+jobs that a job needs, where its record cannot hold them, `r/s/UID/PART/N` done tasks
+moved out of a share that grew too large, `r/o/UID` the outcome of a job that is no
+longer in the book and is needed by one that is.
 """
 
+import hashlib
+import json
+import math
 from collections.abc import Callable, Iterable
-from typing import Any
+from typing import Any, Literal
+
+import msgspec
 
 from ryegauge.bookkeeping.ranges import Ranges
 from ryegauge.bookkeeping.state import Event
@@ -51,15 +61,31 @@
         return result
 
 
-class Job:
-    __slots__ = ("_open", "allotted_count", "cancelled", "done_count", "held", "shares", "spec",
-                 "submitted_at", "version")
+Outcome = Literal["done", "cancelled"]
 
-    def __init__(self, spec: JobSpec, submitted_at: float, cancelled: bool, version: int) -> None:
+
+class Job:
+    __slots__ = ("_open", "allotted_count", "cancelled", "done_count", "held", "needs", "pieces",
+                 "ready_at", "sealed", "sealed_tasks", "shares", "spec", "submitted_at",
+                 "version", "waits_for")
+
+    def __init__(
+        self, spec: JobSpec, submitted_at: float, cancelled: bool, version: int,
+        pieces: tuple[str, int] | None = None,
+    ) -> None:
         self.spec = spec
         self.submitted_at = submitted_at
+        # By its own record or, derived by the book, by that of any job that it needs.
         self.cancelled = cancelled
         self.version = version
+        # Where the needs are kept if not in the record: digest and number of pieces.
+        self.pieces = pieces
+        # None: not all of the pieces have been read yet.
+        self.needs: tuple[str, ...] | None = None if pieces else spec.needs or ()
+        self.waits_for: set[str] = set()  # needs that are not done, kept by the book
+        self.ready_at = submitted_at  # when the last need was done, as far as is known
+        self.sealed: dict[tuple[int, int], Ranges] = {}  # (part, number) -> done tasks
+        self.sealed_tasks = Ranges()
         self.shares: dict[int, Share] = {}
         self.done_count = 0
         self.allotted_count = 0
@@ -68,16 +94,38 @@
 
     def changed(self) -> None:
         self._open = None
-        self.done_count = sum(len(share.done) for share in self.shares.values())
+        if self.sealed:
+            # What is sealed may still stand in its share as well: not to be counted twice.
+            done = self.sealed_tasks
+            for share in self.shares.values():
+                done = done | share.done
+            self.done_count = len(done)
+        else:
+            self.done_count = sum(len(share.done) for share in self.shares.values())
         counts = {part: share.count for part, share in self.shares.items()}
         self.held = {part: count for part, count in counts.items() if count}
         self.allotted_count = sum(self.held.values())
 
+    def seal(self, part: int, number: int, tasks: Ranges | None) -> None:
+        if tasks is None:
+            self.sealed.pop((part, number), None)
+        else:
+            self.sealed[part, number] = tasks
+        self.sealed_tasks = Ranges()
+        for page in self.sealed.values():
+            self.sealed_tasks = self.sealed_tasks | page
+        self.changed()
+
+    @property
+    def ready(self) -> bool:
+        """All jobs that it needs are durably done, which never goes back."""
+        return self.needs is not None and not self.waits_for
+
     @property
     def open_tasks(self) -> Ranges:
         """Neither done nor allotted to a part."""
         if self._open is None:
-            rest = Ranges.up_to(self.spec.tasks)
+            rest = Ranges.up_to(self.spec.tasks) - self.sealed_tasks
             for share in self.shares.values():
                 rest = rest - share.done - share.tasks
             self._open = rest
@@ -90,7 +138,8 @@
     @property
     def status(self) -> str:
         # A cancellation is only written while the job is not done (guarded by the
-        # versions of all its shares), so the flag decides whatever comes later.
+        # versions of all its shares), so the flag decides whatever comes later. One
+        # that comes from a needed job finds nothing done, since nothing had started.
         if self.cancelled:
             return "cancelled"
         if self.done:
@@ -103,24 +152,67 @@
 
     def view(self) -> dict[str, Any]:
         running = 0 if self.over else self.allotted_count
-        return {
+        view = {
             "uid": self.spec.uid,
             "status": self.status,
             "done": self.done_count,
             "running": running,
         }
-
-    def to_record(self) -> dict[str, Any]:
-        return job_record(self.spec, self.submitted_at, self.cancelled)
+        if self.waits_for and not self.over:
+            view["awaits"] = sorted(self.waits_for)
+        return view
 
 
-def job_record(spec: JobSpec, submitted_at: float, cancelled: bool) -> dict[str, Any]:
+def job_record(
+    spec: JobSpec, submitted_at: float, cancelled: bool, pieces: tuple[str, int] | None = None
+) -> dict[str, Any]:
+    if cancelled or pieces:
+        # What a cancelled job needs no longer matters, to it or to those that need it.
+        spec = msgspec.structs.replace(spec, needs=None)
     record: dict[str, Any] = {"s": spec.to_wire(), "at": submitted_at}
     if cancelled:
         record["x"] = True
+    elif pieces:
+        record["w"] = list(pieces)
+    return record
+
+
+def cancelled_record(spec: JobSpec, submitted_at: float, limit: int) -> dict[str, Any]:
+    """Fits the limit even if the job was recorded when larger values were allowed: the
+    type names restrict nothing any more, the others only describe."""
+    record = job_record(spec, submitted_at, True)
+    if value_bytes(record) > limit:
+        spec = msgspec.structs.replace(
+            spec, types=None, image=spec.image[:64], job_class=spec.job_class[:64]
+        )
+        record = job_record(spec, submitted_at, True)
     return record
 
 
+def value_bytes(value: Any) -> int:
+    """The size of a value as the service may count it: as JSON, in its longest form."""
+    return len(json.dumps(value))
+
+
+def need_pieces(needs: tuple[str, ...], limit: int) -> tuple[str, list[list[str]]]:
+    """The names cut into values within the limit, and a digest that names them: the same
+    names always make the same records, so writing them again changes nothing."""
+    pieces: list[list[str]] = [[]]
+    size = 2
+    for name in needs:
+        size += len(name) + 4
+        if size > limit and pieces[-1]:
+            pieces.append([])
+            size = len(name) + 6
+        pieces[-1].append(name)
+    return hashlib.sha256("/".join(needs).encode()).hexdigest()[:32], pieces
+
+
+def span_bytes(tasks: int) -> int:
+    """What one range of a job's task numbers may take in a record."""
+    return 2 * (len(str(tasks)) + 2)
+
+
 def job_key(uid: str) -> str:
     return f"r/j/{uid}"
 
@@ -133,6 +225,18 @@
     return f"f/{uid}"
 
 
+def piece_key(uid: str, digest: str, number: int) -> str:
+    return f"r/w/{uid}/{digest}/{number}"
+
+
+def page_key(uid: str, part: int, number: int) -> str:
+    return f"r/s/{uid}/{part}/{number}"
+
+
+def outcome_key(uid: str) -> str:
+    return f"r/o/{uid}"
+
+
 class Owner:
     """A role's record: who holds it. The version is the token."""
 
@@ -147,12 +251,22 @@
 class JobBook:
     """Applies changes in order; `ledger` is the revision up to which it is complete."""
 
-    def __init__(self) -> None:
+    def __init__(self, wall: Callable[[], float] = lambda: -math.inf) -> None:
+        self._wall = wall
         self.ledger = 0
         self.jobs: dict[str, Job] = {}
-        # Those that are not over, or of which a part still holds tasks: what has to be
-        # looked at in every round, however many are over.
+        # Those that are not over and wait for no other job, or of which a part still
+        # holds tasks: what has to be looked at in every round.
         self.live: dict[str, Job] = {}
+        self.waiting: dict[str, Job] = {}  # those that wait for other jobs
+        self.dependents: dict[str, set[str]] = {}  # job -> jobs in the book that need it
+        # Outcomes of jobs that left the book before one that needs them came into it,
+        # and the names of those whose outcome has yet to be looked up.
+        self.outcomes: dict[str, Outcome] = {}
+        self.lost: set[str] = set()
+        # Records that belong to no job in the book any more, to be deleted.
+        self.orphans: set[str] = set()
+        self._pieces: dict[str, dict[str, dict[int, list[str]]]] = {}
         self.epoch = 0  # counts full reads: after one, all jobs are new objects
         self.nodes: dict[str, str] = {}  # live controllers and their incarnation
         self.parts: dict[int, Owner] = {}
@@ -164,58 +278,169 @@
         """Starts over from a full read."""
         before = list(self.jobs)
         self.jobs, self.live, self.nodes, self.parts, self.types = {}, {}, {}, {}, {}
+        self.waiting, self.dependents, self.outcomes, self._pieces = {}, {}, {}, {}
+        self.lost, self.orphans = set(), set()
         self.leader = None
         self.epoch += 1
         for event in items:
-            self._apply(event)
+            self._take_in(event)
         self.ledger = ledger
-        self._notify({*before, *self.jobs})
+        # When needs were done is not known any more.
+        self._settle({*self.jobs, *self.outcomes}, -math.inf)
+        self._notify(sorted({*before, *self.jobs}))
 
     def apply(self, events: Iterable[Event], ledger: int) -> None:
         touched: set[str] = set()
         for event in events:
-            if (uid := self._apply(event)) is not None:
+            if (uid := self._take_in(event)) is not None:
                 touched.add(uid)
         self.ledger = max(self.ledger, ledger)
-        self._notify(touched)
+        self._notify(self._settle(touched, self._wall()))
+
+    def outcome(self, uid: str) -> Outcome | None:
+        """How a job has ended, for good; None while it has not, or if nothing is known."""
+        if (job := self.jobs.get(uid)) is not None:
+            if job.cancelled:
+                return "cancelled"
+            return "done" if job.done else None
+        return self.outcomes.get(uid)
+
+    def _settle(self, touched: set[str], wall: float) -> list[str]:
+        """What follows from changed records for the jobs that need theirs, directly or
+        through others; returns all that changed. The work is proportional to that."""
+        reached = set(touched)
+        queue = list(touched)
+        while queue:
+            uid = queue.pop()
+            outcome = self.outcome(uid)
+            if outcome is None:
+                continue
+            for name in self.dependents.get(uid, ()):
+                job = self.jobs[name]
+                if outcome == "done" and uid in job.waits_for:
+                    job.waits_for.discard(uid)
+                    if not job.waits_for:
+                        job.ready_at = max(job.submitted_at, wall)
+                    reached.add(name)
+                elif outcome == "cancelled" and not job.cancelled:
+                    job.cancelled = True
+                    reached.add(name)
+                    queue.append(name)
+        result = sorted(reached)
+        for uid in result:
+            self._file(uid)
+        return result
 
-    def _notify(self, uids: set[str]) -> None:
+    def _file(self, uid: str) -> None:
+        job = self.jobs.get(uid)
+        ended = job is None or (job.over and not job.allotted_count)
+        if job is not None and not ended and (job.ready or job.allotted_count):
+            self.live[uid] = job
+        else:
+            self.live.pop(uid, None)
+        if job is not None and not ended and uid not in self.live:
+            self.waiting[uid] = job
+        else:
+            self.waiting.pop(uid, None)
+
+    def _link(self, job: Job) -> None:
+        """Enters the job under those that it needs, once all their names are known."""
+        if job.pieces is not None and job.needs is None:
+            digest, count = job.pieces
+            found = self._pieces.get(job.spec.uid, {}).get(digest, {})
+            if len(found) < count:
+                return
+            job.needs = tuple(name for n in range(count) for name in found[n])
+        for name in job.needs or ():
+            self.dependents.setdefault(name, set()).add(job.spec.uid)
+            outcome = self.outcome(name)
+            if outcome != "done":
+                job.waits_for.add(name)
+            if outcome == "cancelled":
+                job.cancelled = True
+            if name not in self.jobs and name not in self.outcomes:
+                self.lost.add(name)
+
+    def _remove(self, uid: str) -> None:
+        job = self.jobs.pop(uid, None)
+        if job is None:
+            return
+        for name in job.needs or ():
+            users = self.dependents.get(name, set())
+            users.discard(uid)
+            if not users:
+                self.dependents.pop(name, None)
+                self.lost.discard(name)
+        if uid in self.dependents and uid not in self.outcomes:
+            self.lost.add(uid)
+        self.orphans.update(share_key(uid, part) for part in job.shares)
+        self.orphans.update(page_key(uid, part, n) for part, n in job.sealed)
+        for digest, pieces in self._pieces.get(uid, {}).items():
+            self.orphans.update(piece_key(uid, digest, n) for n in pieces)
+
+    def _orphan(self, event: Event) -> None:
+        if event.value is None:
+            self.orphans.discard(event.key)
+        else:
+            self.orphans.add(event.key)
+
+    def _notify(self, uids: Iterable[str]) -> None:
         for uid in uids:
             for listener in self.on_job:
                 listener(uid)
 
-    def _apply(self, event: Event) -> str | None:
-        uid = self._take_in(event)
-        if uid is not None:
-            job = self.jobs.get(uid)
-            if job is None or (job.over and not job.allotted_count):
-                self.live.pop(uid, None)
-            else:
-                self.live[uid] = job
-        return uid
-
     def _take_in(self, event: Event) -> str | None:
         path = event.key.split("/")
         value = event.value
         match path:
             case ["r", "j", uid]:
                 if value is None:
-                    self.jobs.pop(uid, None)
+                    self._remove(uid)
                 elif (job := self.jobs.get(uid)) is not None:
-                    job.cancelled = bool(value.get("x"))
+                    job.cancelled = job.cancelled or bool(value.get("x"))
                     job.version = event.version
                 else:
-                    self.jobs[uid] = Job(
-                        parse_job(value["s"]), value["at"], bool(value.get("x")), event.version
+                    pieces = value.get("w")
+                    job = self.jobs[uid] = Job(
+                        parse_job(value["s"]), value["at"], bool(value.get("x")), event.version,
+                        None if pieces is None else (pieces[0], pieces[1]),
                     )
+                    self.lost.discard(uid)
+                    self._link(job)
                 return uid
             case ["r", "j", uid, part]:
-                if (job := self.jobs.get(uid)) is not None:
-                    if value is None:
-                        job.shares.pop(int(part), None)
-                    else:
-                        job.shares[int(part)] = Share.from_record(value, event.version)
+                if (job := self.jobs.get(uid)) is None:
+                    self._orphan(event)
+                elif value is None:
+                    job.shares.pop(int(part), None)
                     job.changed()
+                else:
+                    job.shares[int(part)] = Share.from_record(value, event.version)
+                    job.changed()
+                return uid
+            case ["r", "s", uid, part, number]:
+                if (job := self.jobs.get(uid)) is None:
+                    self._orphan(event)
+                else:
+                    tasks = None if value is None else Ranges.from_flat(value["d"])
+                    job.seal(int(part), int(number), tasks)
+                return uid
+            case ["r", "w", uid, digest, number]:
+                found = self._pieces.setdefault(uid, {}).setdefault(digest, {})
+                if value is None:
+                    self.orphans.discard(event.key)
+                    del self._pieces[uid]
+                    return None
+                found[int(number)] = value["n"]
+                if (job := self.jobs.get(uid)) is not None and job.needs is None:
+                    self._link(job)
+                return uid
+            case ["r", "o", uid]:
+                if value is None:
+                    self.outcomes.pop(uid, None)
+                else:
+                    self.outcomes[uid] = value["st"]
+                    self.lost.discard(uid)
                 return uid
             case ["r", "p", part]:
                 if value is None:
--- a/ryegauge/bookkeeping/syncer.py
+++ b/ryegauge/bookkeeping/syncer.py
@@ -68,8 +68,9 @@
                     if full:
                         await self._read_all()
                         full = False
-                    else:
-                        await self._read_changes()
+                    # After a full read as well: its pages are of different revisions, and
+                    # what follows from several records would follow from a mixture.
+                    await self._read_changes()
                 self.began_at = began
                 self.failures = 0
             except Gone:
--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -14,6 +14,9 @@
 Count = Annotated[int, msgspec.Meta(ge=1)]
 Share = Annotated[float, msgspec.Meta(ge=0, le=1)]
 
+# A value that a job's record fits into with names of ordinary length.
+LEAST_VALUE = 950
+
 # Steady clocks of two machines drift apart by at most this much (protocol).
 CLOCK_DRIFT = 0.0005
 
@@ -44,11 +47,40 @@
     cancel_s: Positive
 
 
+class NextState(msgspec.Struct, frozen=True):
+    """Limits that the state service will have from some moment that nobody announces."""
+
+    rps: Positive | None = None
+    write_rps: Positive | None = None
+    value_kb: Positive | None = None
+    txn_ops: Count | None = None
+
+
 class State(msgspec.Struct, frozen=True):
     rps: Positive
     write_rps: Positive
     value_kb: Positive
     txn_ops: Count
+    next: NextState | None = None
+
+    @property
+    def safe(self) -> "State":
+        """The smaller of the present and the coming limits: within both at any time."""
+        if self.next is None:
+            return self
+        names = ("rps", "write_rps", "value_kb", "txn_ops")
+        coming = {n: v for n in names if (v := getattr(self.next, n)) is not None}
+        least = {n: min(v, getattr(self, n)) for n, v in coming.items()}
+        return msgspec.structs.replace(self, next=None, **least)
+
+    @property
+    def value_bytes(self) -> int:
+        """What a value may take, with something to spare for how the service counts."""
+        return int(0.95 * 1024 * self.value_kb)
+
+    @property
+    def conditions(self) -> int:
+        return 4 * self.txn_ops
 
 
 class Cloud(msgspec.Struct, frozen=True):
@@ -112,6 +144,10 @@
     def node_names(self) -> list[str]:
         return sorted({self.node_name, *(peer.node_name for peer in self.known)})
 
+    @property
+    def state_limits(self) -> State:
+        return self.settings.state.safe
+
     @property
     def report_gap_s(self) -> float:
         """The longest ordinary pause between a worker's reports."""
@@ -171,6 +207,19 @@
             raise ConfigError(
                 f"{path}: settings.teams ({team.name}): the guarantee must not exceed the maximum"
             )
+    limits = settings.state_limits
+    if settings.settings.nodes + 1 > limits.conditions:
+        # A cancellation names a condition for the job and for each part's share of it.
+        raise ConfigError(
+            f"{path}: settings.state.txn_ops: {limits.txn_ops} allows {limits.conditions} "
+            f"conditions; expected at least one more than settings.nodes "
+            f"({settings.settings.nodes})"
+        )
+    if limits.value_bytes < LEAST_VALUE:
+        raise ConfigError(
+            f"{path}: settings.state.value_kb: {limits.value_kb:g}; "
+            f"expected at least {LEAST_VALUE / 1024:g}"
+        )
     w = settings.settings.workers
     if settings.term_s < 2 * w.report_s or settings.term_s < 0.1:
         raise ConfigError(
--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -8,15 +8,21 @@
 from collections.abc import Callable
 from typing import Any, Literal
 
+import msgspec
 import trio
 
 from ryegauge.bookkeeping.jobbook import (
     Job,
     JobBook,
+    Outcome,
+    cancelled_record,
     final_key,
     job_key,
     job_record,
+    need_pieces,
+    piece_key,
     share_key,
+    value_bytes,
 )
 from ryegauge.bookkeeping.state import (
     Conflict,
@@ -36,17 +42,24 @@
 
 log = logging.getLogger(__name__)
 
-Outcome = Literal["accepted", "known", "unsure"]
+Answer = Literal["accepted", "known", "unsure"]
+
+# A job's record may grow by the mark of its cancellation.
+MARK_BYTES = 16
+
+# Outcomes of jobs that left the book which are remembered, for each MB of memory.
+FINALS_PER_MB = 20
 
 
 class _Submission:
-    __slots__ = ("at", "done", "outcome", "spec")
+    __slots__ = ("done", "outcome", "record", "size", "uid")
 
-    def __init__(self, spec: JobSpec, at: float) -> None:
-        self.spec = spec
-        self.at = at
+    def __init__(self, uid: str, record: dict[str, Any]) -> None:
+        self.uid = uid
+        self.record = record
+        self.size = value_bytes(record)
         self.done = trio.Event()
-        self.outcome: Outcome = "unsure"
+        self.outcome: Answer = "unsure"
 
 
 def _busy(why: str, after_s: float = 1.0) -> Reply:
@@ -79,6 +92,9 @@
         # More than this many seconds' worth of writes is refused at once.
         self._queue_limit = max(12, int(2 * state.writes.rate))
         self._waiting = 0
+        self._limits = settings.state_limits
+        # Outcomes that were read, the latest last; they never change.
+        self._finals: dict[str, Outcome] = {}
         # What was cancelled here of late: told to peers that cannot read it.
         self.cancellations: deque[tuple[float, str]] = deque(maxlen=1000)
 
@@ -128,23 +144,100 @@
             return Reply(422, {"error": why})
         if len(self._queue) >= self._queue_limit:
             return Reply(429, {"error": "too many submissions"}, 2.0)
-        submission = _Submission(spec, self._wall())
+        # A user waits 5 s; whoever writes gives up sooner and says so.
+        with trio.move_on_after(4.0):
+            if (refused := await self._prepare(spec)) is not None:
+                return refused
+            return await self._record(spec)
+        return _busy("the job could not be recorded")
+
+    async def _prepare(self, spec: JobSpec) -> Reply | None:
+        """What keeps a new job from being recorded, if anything does."""
+        bare = job_record(msgspec.structs.replace(spec, needs=None), self._wall(), False)
+        why, status = "", 422
+        if value_bytes(bare) + MARK_BYTES + 60 > self._limits.value_bytes:
+            why, status = "the names in it are too long to be recorded", 400
+        elif spec.needs and spec.uid in spec.needs:
+            why = "awaits itself"
+        elif spec.needs and (unknown := await self._unknown(spec.needs)) is not None:
+            why = f"awaits {unknown}, which was never accepted"
+        if not why:
+            return None
+        if (view := await self._known(spec.uid)) is not None:
+            return Reply(200, view)
+        return Reply(status, {"error": why})
+
+    async def _unknown(self, needs: tuple[str, ...]) -> str | None:
+        """The first of the names that no job was accepted under, by a read that began
+        after the question; outcomes of jobs outside the book are looked up on the way."""
+        outside = [n for n in needs if n not in self._book.jobs and n not in self._finals]
+        if outside:
+            await self._syncer.fresh()
+        for name in outside:
+            if name in self._book.jobs:
+                continue
+            found = await self._state.get(final_key(name), timeout_s=1.0)
+            if found is None:
+                if name in self._book.jobs:
+                    continue
+                return name
+            self._finals[name] = found[0]["st"]
+            if len(self._finals) > FINALS_PER_MB * self._settings.settings.quota.memory_mb:
+                del self._finals[next(iter(self._finals))]
+        return None
+
+    def _new_record(self, spec: JobSpec, at: float) -> tuple[dict[str, Any], list[list[str]]]:
+        """The record of a new job and, if it cannot hold them, the pieces with the names
+        of those that it needs. What is over by now is not named any more: done never
+        goes back, and what needs a cancelled job is cancelled from the start."""
+        outcomes = {n: self._book.outcome(n) or self._finals.get(n) for n in spec.needs or ()}
+        left = tuple(n for n, outcome in outcomes.items() if outcome is None)
+        spec = msgspec.structs.replace(spec, needs=left or None)
+        if "cancelled" in outcomes.values():
+            return job_record(spec, at, True), []
+        record = job_record(spec, at, False)
+        limit = self._limits.value_bytes - MARK_BYTES
+        if value_bytes(record) <= limit:
+            return record, []
+        digest, pieces = need_pieces(left, limit)
+        return job_record(spec, at, False, (digest, len(pieces))), pieces
+
+    async def _store_pieces(self, uid: str, digest: str, pieces: list[list[str]]) -> None:
+        """Before the job's own record, which makes them count. They are named by what
+        they hold, so one that is there already is the same."""
+        for first in range(0, len(pieces), self._limits.txn_ops):
+            some = list(enumerate(pieces))[first : first + self._limits.txn_ops]
+            keys = {piece_key(uid, digest, n): names for n, names in some}
+            while keys:
+                changes: list[Put | Delete] = [Put(k, {"n": names}) for k, names in keys.items()]
+                try:
+                    await self._state.commit(dict.fromkeys(keys, 0), changes, timeout_s=1.0)
+                    break
+                except Conflict as conflict:
+                    keys = {k: names for k, names in keys.items() if k not in conflict.failed}
+
+    async def _record(self, spec: JobSpec) -> Reply:
+        record, pieces = self._new_record(spec, self._wall())
+        if pieces:
+            await self._store_pieces(spec.uid, record["w"][0], pieces)
+        submission = _Submission(spec.uid, record)
         self._queue.append(submission)
         self._queued.set()
-        # A user waits 5 s; the writer gives up sooner and says so.
-        with trio.move_on_after(4.0):
+        try:
             await submission.done.wait()
+        finally:
+            if submission in self._queue:
+                self._queue.remove(submission)
         if submission.outcome == "accepted":
-            return Reply(201, {"uid": spec.uid, "status": "queued"})
+            status = "cancelled" if "x" in record else "queued"
+            return Reply(201, {"uid": spec.uid, "status": status})
         if submission.outcome == "known" and (view := await self._known(spec.uid)) is not None:
             return Reply(200, view)
-        if submission in self._queue:
-            self._queue.remove(submission)
         return _busy("the job could not be recorded")
 
     async def write_submissions(self) -> None:
         """Group commit: one transaction for all that wait."""
-        limit = self._settings.settings.state.txn_ops
+        limit = self._limits.txn_ops
         while True:
             await self._queued.wait()
             if not self._queue:
@@ -162,27 +255,27 @@
         """As many as a transaction may hold, by number and (well below 64 KiB) by size."""
         size = 0
         for n, submission in enumerate(self._queue):
-            size += 600 + 4 * len(str(submission.spec.types or ""))
+            size += submission.size + 200
             if n >= limit or (n > 0 and size > 40_000):
                 return self._queue[:n], self._queue[n:]
         return self._queue, []
 
     async def _write(self, batch: list[_Submission]) -> None:
         while batch:
-            first = {s.spec.uid: s for s in reversed(batch)}  # one per uid, the earliest
+            first = {s.uid: s for s in reversed(batch)}  # one per uid, the earliest
             guards: dict[str, int] = {}
             changes: list[Put | Delete] = []
             for uid, s in first.items():
                 guards[job_key(uid)] = 0
                 guards[final_key(uid)] = 0
-                changes.append(Put(job_key(uid), job_record(s.spec, s.at, False)))
+                changes.append(Put(job_key(uid), s.record))
             try:
                 ledger = await self._state.commit(guards, changes, timeout_s=2.0)
             except Conflict as conflict:
                 failed = set(conflict.failed)
                 known = [
                     s for s in batch
-                    if job_key(s.spec.uid) in failed or final_key(s.spec.uid) in failed
+                    if job_key(s.uid) in failed or final_key(s.uid) in failed
                 ]
                 if not known:
                     raise Unavailable("a conflict without a cause") from None
@@ -192,7 +285,7 @@
                 batch = [s for s in batch if s not in known]
                 continue
             for s in batch:
-                s.outcome = "accepted" if first[s.spec.uid] is s else "known"
+                s.outcome = "accepted" if first[s.uid] is s else "known"
                 s.done.set()
             self._submitted(ledger)
             return
@@ -231,7 +324,9 @@
             try:
                 ledger = await self._state.commit(
                     self._unfinished(job),
-                    [Put(job_key(uid), job_record(job.spec, job.submitted_at, True))],
+                    [Put(job_key(uid), cancelled_record(
+                        job.spec, job.submitted_at, self._limits.value_bytes
+                    ))],
                     timeout_s=1.0,
                 )
             except Conflict:
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -8,19 +8,18 @@
 import math
 from dataclasses import dataclass, field
 
-from ryegauge.bookkeeping.jobbook import Job, JobBook, Share
+from ryegauge.bookkeeping.jobbook import Job, JobBook, Share, span_bytes
 from ryegauge.bookkeeping.ranges import Ranges
 from ryegauge.config import Settings
 from ryegauge.coordination.needs import (
-    latest_finish,
     make_need,
     task_sizes,
     tracks_zones,
     zone_limits,
 )
 from ryegauge.coordination.parting import Parting
+from ryegauge.coordination.urgency import Urgencies
 from ryegauge.protocol.cloud import ListedMachine, MachineType
-from ryegauge.protocol.jobs import PRIORITIES
 from ryegauge.protocol.peers import MachineView, PartOrders, PartView
 from ryegauge.scheduling.estimates import Estimates
 from ryegauge.scheduling.planner import (
@@ -39,6 +38,9 @@
 
 log = logging.getLogger(__name__)
 
+# What a share's record takes besides its ranges: names, and zones if they are tracked.
+RECORD_BYTES = 256
+
 # A task is stopped for others only in this first share of its run.
 PREEMPT_SHARE = 0.25
 # Stopping others at once, for whatever waits, lost more than it gained
@@ -152,6 +154,7 @@
         self._evicted_at = -math.inf
         self.estimates = Estimates()
         self.takeback = TakebackShare(settings.properties.takeback_window_s)
+        self._urgencies = Urgencies(book, settings, self.estimates, ())
 
     # -- what the parts say ----------------------------------------------------------
 
@@ -287,6 +290,9 @@
         running = self._running(now, views)
         self._in_transit(running, views)
         within = self._within_guarantee()
+        self._urgencies = Urgencies(
+            self._book, self._settings, self.estimates, self.types.values()
+        )
         needs, jobs = self._needs(within)
         market = Market(
             types=self.types,
@@ -389,8 +395,6 @@
         """The tasks that get a standby, of the spot machine that holds the most of them
         (what that one needs is held, see `hold_standbys`)."""
         boot_s = min((t.boot_s for t in self.types.values()), default=0.0)
-        objectives = self._settings.settings.objectives
-        finishes: dict[str, float] = {}
         fullest: tuple[float, str, list[tuple[Job, int]]] | None = None
         for state in views.values():
             for name, shown in state.machines.items():
@@ -399,9 +403,7 @@
                 tasks: list[tuple[Job, int]] = []
                 cpus = 0.0
                 for job, count, until in shown.tasks:
-                    uid = job.spec.uid
-                    if (finish := finishes.get(uid)) is None:
-                        finish = finishes[uid] = latest_finish(job, objectives)
+                    finish = self._urgencies.latest_finish(job)
                     if finish < wall or job.over or job.spec.kind == "standing":
                         continue
                     if standby_rule(max(0.0, until - now), boot_s, finish, wall):
@@ -413,7 +415,9 @@
             return {}
         return {
             fullest[1]: [
-                make_need(job, count, None, self.estimates, finishes[job.spec.uid])
+                make_need(
+                    job, count, None, self.estimates, self._urgencies.latest_finish(job)
+                )
                 for job, count in fullest[2]
             ]
         }
@@ -449,16 +453,14 @@
             name = job.spec.team
             used_cpus[name] = used_cpus.get(name, 0.0) + n * job.spec.cpus
             used_gpus[name] = used_gpus.get(name, 0.0) + n * job.spec.gpus
-            if not job.over and job.open_tasks:
+            if not job.over and job.ready and job.open_tasks:
                 waiting.append(job)
-        objectives = self._settings.settings.objectives
         ranked: list[tuple[tuple[bool, int, float, float, str], Job, float]] = []
         for job in waiting:
-            finish = latest_finish(job, objectives)
             if job.spec.team not in self._teams:
                 continue
             within = job.spec.uid in within_guarantee
-            rank = PRIORITIES.index(job.spec.priority)
+            finish, rank = self._urgencies.of(job)
             ranked.append(
                 ((not within, rank, finish, job.submitted_at, job.spec.uid), job, finish)
             )
@@ -488,7 +490,7 @@
         unfinished jobs: they need not wait for other teams."""
         unfinished = sorted(
             (job for job in self._book.live.values() if not job.over),
-            key=lambda job: job.submitted_at,
+            key=lambda job: job.ready_at,
         )
         cpus: dict[str, float] = {}
         gpus: dict[str, float] = {}
@@ -512,10 +514,13 @@
         for placement in decided.placements:
             job = jobs[placement.uid]
             rest = job.open_tasks - taken.get(placement.uid, Ranges())
-            tasks = rest.first(placement.count)
-            taken[placement.uid] = taken.get(placement.uid, Ranges()) | tasks
             key = (placement.uid, placement.part)
             share = result.allotments.get(key)
+            held = share or job.shares.get(placement.part)
+            tasks = rest.first(min(placement.count, self._room_in_record(job, held)))
+            if not tasks:
+                continue
+            taken[placement.uid] = taken.get(placement.uid, Ranges()) | tasks
             if share is None:
                 old = job.shares.get(placement.part)
                 share = (
@@ -527,6 +532,14 @@
             zone = placement.zone if tracks_zones(job.spec) else ""
             share.allotted[zone] = share.allotted.get(zone, Ranges()) | tasks
 
+    def _room_in_record(self, job: Job, share: Share | None) -> int:
+        """How many more tasks a share may be given so that its record stays within what
+        the state service takes, in whatever order they end: each may come to be a range
+        of its own, among those that are held or among those that are done."""
+        limit = self._settings.state_limits.value_bytes - RECORD_BYTES
+        ranges = limit // span_bytes(job.spec.tasks)
+        return ranges if share is None else ranges - share.count - len(share.done.spans)
+
     def _starting(self, now: float) -> list[Room]:
         rooms: list[Room] = []
         for r in self.fleet.values():
@@ -566,14 +579,13 @@
         further task is stopped."""
         if now - self._evicted_at < self._settings.report_gap_s:
             return
-        lowest = max(
-            (PRIORITIES.index(j.spec.priority) for j in self._book.live.values()), default=0
-        )
+        rank_of = self._urgencies.rank
+        lowest = max((rank_of(job) for job in self._book.live.values()), default=0)
         waiting: list[tuple[Job, int, int, bool]] = []
         for uid, count in decided.unplaced:
             job = jobs[uid]
-            rank = PRIORITIES.index(job.spec.priority)
-            patient = wall - job.submitted_at <= PREEMPT_BOOTS * self._longest_boot_s
+            rank = rank_of(job)
+            patient = wall - job.ready_at <= PREEMPT_BOOTS * self._longest_boot_s
             claims = uid in within and not patient
             if zone_limits(job) is not None or job.spec.types is not None or job.spec.gpus:
                 continue
@@ -595,7 +607,7 @@
                     or (victim.machine.spot and not job.spec.spot)
                 ):
                     continue
-                lower = PRIORITIES.index(spec.priority) >= rank + PREEMPT_STEPS
+                lower = rank_of(victim.job) >= rank + PREEMPT_STEPS
                 yields = claims and spec.team != job.spec.team and spec.team in beyond
                 if not (lower or yields) or spec.uid in within:
                     continue
@@ -628,7 +640,6 @@
         """What has just begun and has slack for a boot and a run, the shortest run first."""
         result: list[Victim] = []
         boot_s = self._longest_boot_s
-        objectives = self._settings.settings.objectives
         for state in views.values():
             for shown in state.machines.values():
                 if not shown.view.open:
@@ -638,7 +649,7 @@
                         continue
                     run_s = self.estimates.run_s(job.spec.job_class, job.spec.estimate_s)
                     elapsed = run_s - max(0.0, until - now)
-                    slack = latest_finish(job, objectives) - wall - run_s
+                    slack = self._urgencies.latest_finish(job) - wall - run_s
                     if elapsed < PREEMPT_SHARE * run_s and slack > boot_s:
                         result.append(Victim(elapsed, shown.view, job, count))
         result.sort(key=lambda v: (v.elapsed_s, v.machine.name, v.job.spec.uid))
--- a/ryegauge/coordination/needs.py
+++ b/ryegauge/coordination/needs.py
@@ -50,19 +50,22 @@
     return tuple(sizes)
 
 
-def latest_finish(job: Job, objectives: list[Objective]) -> float:
-    """By the deadline, or for classes without one by the tightest time that the
-    settings want them finished in (the paper knows only deadlines)."""
+def latest_finish(job: Job, objectives: list[Objective], run_s: float) -> float:
+    """By the job's own deadline, which counts from its submission, or for classes without
+    one by the tightest time that the settings want them finished or started in, which
+    counts from when it waits for no other job (the paper knows only deadlines)."""
     if job.spec.kind == "standing":
         return math.inf
     if job.spec.deadline_s is not None:
         return job.submitted_at + job.spec.deadline_s
+    if not job.ready:
+        return math.inf
     within = [
-        o.within_s
+        o.within_s if o.kind == "finished" else o.within_s + run_s
         for o in objectives
-        if o.kind == "finished" and o.job_class == job.spec.job_class
+        if o.kind in ("finished", "wait") and o.job_class == job.spec.job_class
     ]
-    return job.submitted_at + min(within, default=math.inf)
+    return job.ready_at + min(within, default=math.inf)
 
 
 def zone_limits(job: Job) -> dict[str, int] | None:
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -4,10 +4,20 @@
 import random
 from collections.abc import Awaitable, Callable, Collection, Iterable
 
+import msgspec
 import trio
 
 from ryegauge.bookkeeping.budget import IDLE, Budget
-from ryegauge.bookkeeping.jobbook import JobBook, Share, final_key, job_key, share_key
+from ryegauge.bookkeeping.jobbook import (
+    JobBook,
+    Share,
+    final_key,
+    job_key,
+    outcome_key,
+    page_key,
+    share_key,
+    value_bytes,
+)
 from ryegauge.bookkeeping.state import (
     Conflict,
     Delete,
@@ -19,9 +29,10 @@
 )
 from ryegauge.bookkeeping.syncer import Syncer
 from ryegauge.config import Settings
+from ryegauge.coordination import archive
 from ryegauge.coordination.frontdoor import FrontDoor
 from ryegauge.coordination.leader import Leader
-from ryegauge.coordination.part import PartOwner
+from ryegauge.coordination.part import PartOwner, Pending
 from ryegauge.coordination.parting import Parting
 from ryegauge.coordination.terms import LEADER_KEY, Term, part_key
 from ryegauge.protocol.cloud import (
@@ -83,8 +94,8 @@
         self._idle_s = 4 * shared.workers.lease_s
         self._state = StateClient(
             network.client(settings.outside.state, max_connections=16, idle_s=self._idle_s),
-            shared.state.rps,
-            shared.state.write_rps,
+            settings.state_limits.rps,
+            settings.state_limits.write_rps,
             shared.nodes,
         )
         self._cloud = network.client(
@@ -100,7 +111,7 @@
         }
         self._parting = Parting(settings)
         self._report_s = shared.workers.report_s
-        self.book = JobBook()
+        self.book = JobBook(wall)
         self._syncer = Syncer(
             self._state, self.book, idle_s=self._read_pause_s, timeout_s=1.0
         )
@@ -167,7 +178,7 @@
     def _read_pause_s(self) -> float:
         """Peers tell when they write; reading without being told serves those that
         cannot, and authority, which does not outlast the last read by more than a term."""
-        if self.book.live:
+        if self.book.live or self.book.waiting:
             return min(0.5, self._report_s / 2)
         return self._settings.term_s / 6
 
@@ -440,19 +451,31 @@
             return
         writes = self._state.writes
         now = trio.current_time()
-        urgent = sum(waited_for for waited_for, _, _ in pending)
+        if (bulky := next((entry for entry in pending if entry.pages), None)) is not None:
+            await self._seal(part, owner, bulky)
+            return
+        limits = self._settings.state_limits
+        urgent = sum(entry.waited_for for entry in pending)
         if not urgent and now < self._wrote_at.get(part, 0.0) + self._report_s / 2:
             return
         self._wrote_at[part] = now
         count = max(min(urgent, max(1, int(writes.available()))), int(writes.available(IDLE)))
-        count = min(count, len(pending), self._settings.settings.state.txn_ops)
+        count = min(count, len(pending), limits.txn_ops)
         if count <= 0:
             return
         guards = {part_key(part): owner.token}
         changes: list[Put | Delete] = []
-        for _, uid, share in pending[:count]:
-            guards[share_key(uid, part)] = share.version
-            changes.append(Put(share_key(uid, part), share.to_record()))
+        for _, _, uid, share, _ in pending:
+            record = share.to_record()
+            # One that was recorded when larger values were allowed waits until enough of
+            # its tasks have ended.
+            if value_bytes(record) <= limits.value_bytes:
+                guards[share_key(uid, part)] = share.version
+                changes.append(Put(share_key(uid, part), record))
+            if len(changes) == count:
+                break
+        if not changes:
+            return
         try:
             self._tell_leader(await self._state.commit(guards, changes, timeout_s=1.0))
         except RETRY as error:
@@ -462,6 +485,28 @@
         except Unavailable as error:
             log.debug("reading after outcomes of part %d: %s", part, error)
 
+    async def _seal(self, part: int, owner: PartOwner, entry: Pending) -> None:
+        """Copies done tasks of a share that has grown too large to records of their own;
+        once they stand there, the next write of the share leaves them out."""
+        job = self.book.jobs.get(entry.uid)
+        if job is None:
+            return
+        number = 1 + max((n for p, n in job.sealed if p == part), default=-1)
+        guards = {part_key(part): owner.token}
+        changes: list[Put | Delete] = []
+        for page in entry.pages[: self._settings.state_limits.txn_ops]:
+            key = page_key(entry.uid, part, number + len(changes))
+            guards[key] = 0
+            changes.append(Put(key, {"d": page.flat()}))
+        try:
+            await self._state.commit(guards, changes, timeout_s=1.0)
+        except RETRY as error:
+            log.debug("sealing %s of part %d failed: %s", entry.uid, part, error)
+        try:
+            await self._syncer.fresh()
+        except Unavailable as error:
+            log.debug("reading after sealing: %s", error)
+
     async def _report_parts(self) -> None:
         """Shows the leader our parts and takes its orders."""
         while True:
@@ -565,7 +610,7 @@
     async def _allot(self, leader: Leader, allotments: dict[tuple[str, int], Share]) -> None:
         """Writes as many as the budget has now, in order of precedence; what is left is
         decided anew, since more urgent work may have come by then."""
-        limit = self._settings.settings.state.txn_ops
+        limit = self._settings.state_limits.txn_ops
         todo = list(allotments.items())
         while todo:
             count = max(1, min(limit, int(self._state.writes.available())))
@@ -574,7 +619,7 @@
             changes: list[Put | Delete] = []
             for (uid, part), share in batch:
                 job = self.book.jobs.get(uid)
-                if job is None or job.cancelled:
+                if job is None or job.over or not job.ready:
                     continue
                 guards[job_key(uid)] = job.version
                 guards[share_key(uid, part)] = share.version
@@ -601,35 +646,42 @@
                 return
 
     async def _archive(self) -> None:
-        """Moves the oldest jobs that are over out of the book, which every controller
-        holds in memory, to records that are read when asked for. Kept for good."""
-        limit = int(JOBS_PER_MB * self._settings.settings.quota.memory_mb)
+        """Keeps the book as small as wanted, and looks up what it lacks."""
+        shared = self._settings.settings
+        limit = int(JOBS_PER_MB * shared.quota.memory_mb)
+        ops = self._settings.state_limits.txn_ops
         while True:
-            await trio.sleep(self._settings.settings.workers.lease_s)
+            await trio.sleep(self._report_s)
             leader = self._leader
-            excess = len(self.book.jobs) - limit
-            if leader is None or excess <= 0 or not self._term.valid(trio.current_time()):
+            if leader is None or not self._term.valid(trio.current_time()):
                 continue
-            over = [j for j in self.book.jobs.values() if j.over and not j.allotted_count]
-            over.sort(key=lambda job: job.submitted_at)
-            for job in over[:excess]:
-                uid = job.spec.uid
-                view = job.view()
-                guards = {LEADER_KEY: leader.token, job_key(uid): job.version}
-                changes: list[Put | Delete] = [
-                    Put(final_key(uid), {"st": view["status"], "d": view["done"]}),
-                    Delete(job_key(uid)),
-                ]
-                for part in range(self._settings.settings.nodes):
-                    share = job.shares.get(part)
-                    guards[share_key(uid, part)] = 0 if share is None else share.version
-                    if share is not None:
-                        changes.append(Delete(share_key(uid, part)))
-                try:
-                    self._wrote(await self._state.commit(guards, changes, timeout_s=1.0))
-                except RETRY as error:
-                    log.debug("archiving %s failed: %s", uid, error)
-                    break
+            try:
+                await self._look_up(leader)
+                for job in archive.to_move_out(self.book, limit):
+                    # In a book that has moved on, another may need it by now.
+                    if job.spec.uid not in self.book.dependents:
+                        guards, changes = archive.move_out(job, shared.nodes)
+                        await self._clear(leader, guards, changes)
+                while changes := archive.to_clear(self.book, ops):
+                    await self._clear(leader, {}, changes)
+            except RETRY as error:
+                log.debug("archiving failed: %s", error)
+
+    async def _clear(
+        self, leader: Leader, guards: dict[str, int], changes: list[Put | Delete]
+    ) -> None:
+        guards[LEADER_KEY] = leader.token
+        self._wrote(await self._state.commit(guards, changes, timeout_s=1.0))
+        await self._syncer.fresh()
+
+    async def _look_up(self, leader: Leader) -> None:
+        """A job may be recorded, late, after one that it needs has left the book: the
+        outcome of that one comes back, for those that read the book alone."""
+        for uid in sorted(self.book.lost):
+            found = await self._state.get(final_key(uid), timeout_s=1.0)
+            if found is not None:
+                change = Put(outcome_key(uid), {"st": found[0]["st"]})
+                await self._clear(leader, {outcome_key(uid): 0}, [change])
 
     async def _refence(self, leader: Leader) -> None:
         while self._leader is leader:
@@ -703,22 +755,27 @@
                         types = {t.name: t for t in parse(answer, Catalog).types}
                         if self._leader is not None:
                             self._leader.types = types
-                        await self._publish_types(answer["builds"])
+                        await self._publish_types(types)
                         pause = 2 * self._settings.settings.workers.lease_s
                 except (Unreachable, Malformed, *RETRY) as error:
                     log.info("reading the catalogue failed: %s", error)
                     pause = self._report_s
             await trio.sleep(pause)
 
-    async def _publish_types(self, records: list[dict[str, object]]) -> None:
+    async def _publish_types(self, types: dict[str, MachineType]) -> None:
         """Written when types appear: prices move, but what fits where does not."""
-        new = [r for r in records if r["label"] not in self.book.types]
-        limit = self._settings.settings.state.txn_ops
-        for start in range(0, len(new), limit):
-            changes: list[Put | Delete] = [
-                Put(f"r/c/{r['label']}", r) for r in new[start : start + limit]
-            ]
-            self._wrote(await self._state.commit({}, changes, timeout_s=1.0))
+        limits = self._settings.state_limits
+        changes: list[Put | Delete] = []
+        for name in sorted(types.keys() - self.book.types.keys()):
+            # What else the cloud says of a type may be more than a value holds.
+            record = msgspec.to_builtins(types[name])
+            if value_bytes(record) <= limits.value_bytes:
+                changes.append(Put(f"r/c/{name}", record))
+            else:
+                log.error("machine type %s: its description is too long", name)
+        for first in range(0, len(changes), limits.txn_ops):
+            some = changes[first : first + limits.txn_ops]
+            self._wrote(await self._state.commit({}, some, timeout_s=1.0))
 
     async def _watch_fleet(self) -> None:
         while True:
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -8,13 +8,14 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
-from typing import Literal
+from typing import Literal, NamedTuple
 
-from ryegauge.bookkeeping.jobbook import Job, JobBook, Share
+from ryegauge.bookkeeping.jobbook import Job, JobBook, Share, span_bytes
 from ryegauge.bookkeeping.ranges import Ranges
 from ryegauge.config import CLOCK_DRIFT, Settings
-from ryegauge.coordination.needs import latest_finish, make_need, task_sizes
+from ryegauge.coordination.needs import make_need, task_sizes
 from ryegauge.protocol.cloud import MachineType
+from ryegauge.protocol.jobs import MAX_TASKS
 from ryegauge.protocol.peers import MachineView, PartView, RunSample
 from ryegauge.protocol.workers import (
     Command,
@@ -95,6 +96,17 @@
         self.alive: dict[tuple[TaskKey, int], TaskReport] = {}  # as last reported
 
 
+class Pending(NamedTuple):
+    """What is to be written of a job's share."""
+
+    waited_for: bool  # somebody waits for it
+    opens: bool  # perhaps the last that jobs after this one wait for
+    uid: str
+    share: Share
+    # Done tasks of the book's share that have to stand in records of their own first.
+    pages: list[Ranges]
+
+
 def _of(key: TaskKey) -> tuple[str, list[TaskKey]]:
     return key[0], [key]
 
@@ -127,6 +139,7 @@
         self._free: set[TaskKey] = set()
         self._unseen: set[TaskKey] = set()
         self.leaving: set[TaskKey] = set()
+        self._bulky: set[str] = set()  # jobs whose share's record has grown too large
         self.estimates = Estimates()
         self._samples: dict[str, tuple[int, float]] = {}
         # Counts reports that said something new. Most only renew a lease, and looking
@@ -153,6 +166,7 @@
         share = job.shares.get(self.part) if job is not None else None
         known = self._by_job.get(uid)
         if share is None and not known:
+            self._bulky.discard(uid)
             return
         wanted: set[TaskKey] = set()
         if share is not None:
@@ -165,6 +179,10 @@
                         (self._free if phase == "free" else self._unseen).add(key)
         for key in (known or set()) - wanted:
             self._drop(key)
+        if job is not None and share is not None and self._is_bulky(job, share):
+            self._bulky.add(uid)
+        else:
+            self._bulky.discard(uid)
         if wanted:
             self._by_job[uid] = wanted
         else:
@@ -513,13 +531,12 @@
             task = self.tasks[key]
             if task.not_before <= now:
                 groups.setdefault((key[0], task.zone), []).append(key)
-        objectives = self._settings.settings.objectives
         sizes = task_sizes(self._book)
         for (uid, zone), keys in groups.items():
             job = self._book.jobs[uid]
             zones = {zone: len(keys)} if zone else None
-            need = make_need(job, len(keys), zones, self.estimates,
-                             latest_finish(job, objectives), sizes)
+            # How urgent it is has been decided where its tasks were allotted.
+            need = make_need(job, len(keys), zones, self.estimates, math.inf, sizes)
             avoid = set().union(*(self.tasks[key].errors for key in keys))
             open_rooms = [room for room in rooms if room.name not in avoid] if avoid else rooms
             queue = iter(keys)
@@ -540,14 +557,14 @@
 
     # -- what is to be written and told -----------------------------------------------
 
-    def pending(self) -> list[tuple[bool, str, Share]]:
-        """The shares as they should be, where they differ from the book, as (whether
-        others wait for it, job, share): first those that give tasks back or are all
-        over, since their users or the leader wait; then those that shrank."""
-        leaving: dict[str, list[Task]] = {}
+    def pending(self) -> list[Pending]:
+        """The shares as they should be, where they differ from the book: first those
+        that give tasks back or are all over, since their users, the leader or the jobs
+        after them wait; then those that shrank."""
+        leaving: dict[str, list[Task]] = {uid: [] for uid in self._bulky}
         for key in self.leaving:
             leaving.setdefault(key[0], []).append(self.tasks[key])
-        result: list[tuple[bool, str, Share]] = []
+        result: list[Pending] = []
         for uid, tasks in leaving.items():
             job: Job | None = self._book.jobs.get(uid)
             if job is None or (share := job.shares.get(self.part)) is None:
@@ -555,12 +572,33 @@
             out = Ranges.of(t.key[1] for t in tasks)
             done = Ranges.of(t.key[1] for t in tasks if t.done)
             allotted = {zone: r - out for zone, r in share.allotted.items()}
-            after = Share(allotted, share.done | done, share.version)
+            all_done, pages = share.done | done, []
+            if uid in self._bulky:
+                pages = self._pages(share.done - job.sealed_tasks)
+                all_done = all_done - job.sealed_tasks
+            after = Share(allotted, all_done, share.version)
             waited_for = not after.count or len(done) < len(out)
-            result.append((waited_for, uid, after))
-        result.sort(key=lambda entry: not entry[0])
+            opens = uid in self._book.dependents and not after.count
+            result.append(Pending(waited_for, opens, uid, after, pages))
+        result.sort(key=lambda entry: (not entry.waited_for, not entry.opens))
         return result
 
+    def _is_bulky(self, job: Job, share: Share) -> bool:
+        """Whether the done tasks of a share take so much of its record that the leader
+        can hardly add to it: they are moved to records of their own."""
+        size = len(share.done.spans) * span_bytes(job.spec.tasks)
+        return 2 * size > self._settings.state_limits.value_bytes
+
+    def _pages(self, tasks: Ranges) -> list[Ranges]:
+        """Done tasks cut into values within the limit."""
+        if not tasks:
+            return []
+        each = self._settings.state_limits.value_bytes // (2 * span_bytes(MAX_TASKS))
+        return [
+            Ranges(tasks.spans[first : first + each])
+            for first in range(0, len(tasks.spans), each)
+        ]
+
     def view(self, node: str, leader: int, now: float) -> PartView:
         """What has changed since the last view that the leader (by its token) has
         acknowledged, at most as much as a message holds; the rest follows."""
--- a/ryegauge/coordination/terms.py
+++ b/ryegauge/coordination/terms.py
@@ -37,6 +37,7 @@
         self, settings: Settings, state: StateClient, book: JobBook, syncer: Syncer,
         new_incarnation: Callable[[], str],
     ) -> None:
+        self._settings = settings
         self._name = settings.node_name
         self._names = settings.node_names
         self._parts = settings.settings.nodes
@@ -209,9 +210,14 @@
         changes: list[Put | Delete] = [Put(key, record, self._lease) for key in claims]
         if not self._enrolled:
             changes.append(Put(f"r/n/{self._name}", {"i": self.incarnation}, self._lease))
-        if claims:
-            self._claimed_at = trio.current_time()
-        await self._state.commit(claims, changes, timeout_s=self._ttl_s / 6, urgent=True)
+        # Each role is guarded by itself, so they can be taken in several transactions.
+        limit = self._settings.state_limits.txn_ops
+        for first in range(0, len(changes), limit):
+            some = changes[first : first + limit]
+            guards = {c.key: claims[c.key] for c in some if c.key in claims}
+            if guards:
+                self._claimed_at = trio.current_time()
+            await self._state.commit(guards, some, timeout_s=self._ttl_s / 6, urgent=True)
         self._enrolled = True
         if claims:
             log.info("took %s", ", ".join(claims))
--- a/ryegauge/protocol/jobs.py
+++ b/ryegauge/protocol/jobs.py
@@ -37,6 +37,7 @@
         "checkpoint_s": "waypointS",
         "save_s": "stowS",
         "deadline_s": "dueS",
+        "needs": "awaits",
     },
 ):
     uid: str
@@ -59,6 +60,8 @@
     types: list[str] | None = None
     zone: str | None = None
     deadline_s: float | None = None
+    # Jobs that have to be done before any task of this one starts; None: there are none.
+    needs: tuple[str, ...] | None = None
 
     def to_wire(self) -> dict[str, Any]:
         """The record kept in the state service: nulls are left out."""
@@ -95,4 +98,9 @@
     for name, value in amounts.items():
         if not math.isfinite(value) or value < 0:
             raise Malformed(f"{name}: expected a number that is not negative")
-    return spec
+    if spec.needs is None:
+        return spec
+    if not all(valid_uid(uid) for uid in spec.needs):
+        raise Malformed("awaits: expected a list of job names, each wk- and digits")
+    # Names that are repeated count once.
+    return msgspec.structs.replace(spec, needs=tuple(dict.fromkeys(spec.needs)) or None)
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -60,7 +60,7 @@
         self.owner.tick(self.now, self.now)
 
     def pending(self) -> dict[str, Share]:
-        return {uid: share for _, uid, share in self.owner.pending()}
+        return {entry.uid: entry.share for entry in self.owner.pending()}
 
     def phase(self, task: int) -> str:
         return self.owner.tasks[(UID, task)].phase
