--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -1,6 +1,8 @@
 """Whole controllers in a simulated world, under failures drawn from seeds."""
 
+import importlib
 import os
+import sys
 from pathlib import Path
 from typing import Any
 
@@ -11,7 +13,8 @@
 from conftest import job_body, settings_text
 from world import Attempt, World, play
 
-from ryegauge.config import Settings, load
+from ryegauge.config import NextState, Settings, load
+from ryegauge.coordination.node import Node
 
 
 def some_controllers(tmp_path: Path, count: int, areas: str = "a") -> list[Settings]:
@@ -42,6 +45,29 @@
 ]
 
 
+# Chains, a diamond, a job that is needed by two teams, cancellations at the front and in
+# the middle, last jobs that come late. Names are by place: the first is wk-000001.
+PIPES: list[dict[str, Any]] = [
+    {"pieces": 6, "delay": 20.0, "cpus": 1.0, "urgency": "best_effort", "dueS": None},
+    {"pieces": 5, "delay": 20.0, "awaits": ["wk-000001"], "urgency": "best_effort", "dueS": None},
+    {"pieces": 4, "delay": 20.0, "awaits": ["wk-000001"], "crew": "blue", "dueS": None},
+    {"pieces": 2, "delay": 20.0, "awaits": ["wk-000002", "wk-000003"], "urgency": "high"},
+    {"pieces": 2, "delay": 21.0, "awaits": ["wk-000004"], "late": True, "urgency": "high"},
+    {"pieces": 8, "delay": 24.0, "really": 25.0, "cancel_after": 15.0},
+    {"pieces": 3, "delay": 24.0, "awaits": ["wk-000006", "wk-000001"]},
+    {"pieces": 3, "delay": 24.0, "awaits": ["wk-000007"], "crew": "blue"},
+    {"pieces": 1, "delay": 24.0, "awaits": ["wk-000006"], "late": True},
+    {"pieces": 4, "delay": 30.0, "cpus": 1.0},
+    {"pieces": 4, "delay": 30.0, "awaits": ["wk-000010"], "cancel_after": 3.0},
+    {"pieces": 4, "delay": 30.0, "awaits": ["wk-000010", "wk-000001"], "spread": True,
+     "crew": "blue"},
+    {"pieces": 20, "delay": 40.0, "cpus": 2.0, "really": 14.0},
+    {"pieces": 2, "delay": 40.0, "awaits": ["wk-000013"], "shape": "standing", "expectS": 0.0,
+     "dueS": None, "cpus": 1.0, "cancel_after": 50.0},
+    {"pieces": 3, "delay": 60.0, "awaits": ["wk-000012", "wk-000004", "wk-000012"]},
+]
+
+
 async def quiet(world: World) -> None:
     return
 
@@ -59,6 +85,109 @@
     assert days[0].state.revision == days[1].state.revision
 
 
+def with_next(settings: list[Settings]) -> list[Settings]:
+    """The settings of pipelines' days: the state service will have smaller limits."""
+    coming = NextState(write_rps=28.0, value_kb=2.0, txn_ops=4)
+    result = []
+    for each in settings:
+        state = msgspec.structs.replace(each.settings.state, next=coming)
+        shared = msgspec.structs.replace(each.settings, state=state)
+        result.append(msgspec.structs.replace(each, settings=shared))
+    return result
+
+
+def limit_state(world: World) -> None:
+    world.state.value_kb, world.state.txn_ops = 2.0, 4
+
+
+def test_a_quiet_day_of_pipelines(tmp_path: Path) -> None:
+    """Under the smaller limits from the start; nothing is refused for its size."""
+
+    async def limits(world: World) -> None:
+        limit_state(world)
+
+    world = play(with_next(some_controllers(tmp_path, 5)), 1, PIPES, limits, 150.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    ends = {uid: status for uid, status in world.checker.final.items() if status == "cancelled"}
+    assert set(ends) == {f"wk-0000{n:02d}" for n in (6, 7, 8, 9, 11, 14)}
+    assert world.state.refused_writes == 0
+
+
+def test_a_pipeline_through_the_archive(tmp_path: Path) -> None:
+    """With room for two jobs in the book, those that are over leave it, and jobs that
+    come later name them all the same."""
+    small = []
+    for settings in with_next(some_controllers(tmp_path, 3)):
+        quota = msgspec.structs.replace(settings.settings.quota, memory_mb=0.2)
+        shared = msgspec.structs.replace(settings.settings, quota=quota)
+        small.append(msgspec.structs.replace(settings, settings=shared))
+
+    async def script(world: World) -> None:
+        limit_state(world)
+        await trio.sleep(95.0)
+        world.crash(0, 2)
+
+    late = [
+        {"pieces": 2, "delay": 100.0, "awaits": ["wk-000001"]},
+        {"pieces": 2, "delay": 100.0, "awaits": ["wk-000007", "wk-000001"]},
+    ]
+    world = play(small, 9, PIPES + late, script, 200.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    assert world.checker.final["wk-000016"] == "done"
+    assert world.checker.final["wk-000017"] == "cancelled"
+    assert sum(key.startswith("f/") for key in world.state.data) >= 10
+    records = {key for key in world.state.data if key.startswith(("r/j/", "r/s/", "r/o/"))}
+    assert len({key.split("/")[2] for key in records}) <= 4
+
+
+def test_hundreds_of_needs(tmp_path: Path) -> None:
+    """More names than a record holds under the smaller limits."""
+    got: dict[str, Any] = {}
+
+    async def script(world: World) -> None:
+        await trio.sleep(25.0)
+        limit_state(world)
+        names = [f"wk-{n:032d}" for n in range(200)]
+        checker = world.checker
+        for name in names:
+            checker.specs[name] = {**job_body(name, pieces=1, cpus=0.1), "really": 3.0}
+        async with trio.open_nursery() as nursery:
+
+            async def submit(name: str) -> None:
+                while name not in checker.accepted:
+                    status, answer = await world.ask("POST", "/v1/jobs", job_body(
+                        name, pieces=1, cpus=0.1))
+                    checker.answered(name, status, answer, "submit")
+                    await trio.sleep(0.5)
+
+            for name in names:
+                nursery.start_soon(submit, name)
+        body = job_body("wk-9999", awaits=names)
+        checker.specs["wk-9999"] = {**body, "really": 3.0}
+        while "wk-9999" not in checker.accepted:
+            status, answer = await world.ask("POST", "/v1/jobs", body)
+            checker.answered("wk-9999", status, answer, "submit")
+            await trio.sleep(0.5)
+        got["first"] = answer
+        got["waits"] = (await world.ask("GET", "/v1/jobs/wk-9999"))[1]
+        world.crash(0, 1, 2)
+        while checker.final.get("wk-9999") is None:
+            await trio.sleep(2.0)
+            status, answer = await world.ask("GET", "/v1/jobs/wk-9999")
+            checker.answered("wk-9999", status, answer, "poll")
+        got["again"] = await world.ask("POST", "/v1/jobs", body)
+
+    world = play(with_next(some_controllers(tmp_path, 3)), 2, [], script, 200.0)
+    assert world.checker.broken == []
+    assert got["first"]["status"] == "queued"
+    assert len(got["waits"]["awaits"]) > 100
+    assert any(key.startswith("r/w/wk-9999/") for key in world.state.keys)
+    assert got["again"][0] == 200
+    assert got["again"][1]["status"] == "done"
+
+
 async def trouble(world: World) -> None:
     """Failures one over another, as the seed has it."""
     rng = world.rng
@@ -141,6 +270,76 @@
     assert world.unfinished == set()
 
 
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_rules_hold_for_pipelines_under_combined_failures(tmp_path: Path, seed: int) -> None:
+    async def limited(world: World) -> None:
+        world.nursery.start_soon(trouble, world)
+        await trio.sleep(world.rng.uniform(20.0, 120.0))
+        limit_state(world)
+
+    settings = with_next(some_controllers(tmp_path, 5, "ab" if seed % 2 else "a"))
+    world = play(settings, 100 + seed, PIPES, limited, 280.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+
+
+def production() -> Any:
+    """The controller of another checkout, named by RYEGAUGE_PRODUCTION, if there is one:
+    CI has none and rolls the present version over itself."""
+    root = os.environ.get("RYEGAUGE_PRODUCTION")
+    if root is None:
+        return Node
+    mine = {name: sys.modules.pop(name) for name in list(sys.modules)
+            if name.split(".")[0] == "ryegauge"}
+    sys.path.insert(0, root)
+    try:
+        module = importlib.import_module("ryegauge.coordination.node")
+        # What the world's network raises and answers with is the present version's.
+        names = ("Unreachable", "Malformed", "Reply")
+        for other in [m for n, m in sys.modules.items() if n.split(".")[0] == "ryegauge"]:
+            for name in names:
+                if hasattr(other, name):
+                    setattr(other, name, getattr(mine["ryegauge.transport.http"], name))
+        return module.Node
+    finally:
+        sys.path.remove(root)
+        for name in [n for n in sys.modules if n.split(".")[0] == "ryegauge"]:
+            del sys.modules[name]
+        sys.modules.update(mine)
+
+
+@pytest.mark.parametrize("seed", range(SEEDS))
+def test_rules_hold_while_controllers_are_rolled(tmp_path: Path, seed: int) -> None:
+    """One after the other ends and comes back new, with other ends between, of which
+    those before their turn come back old; pipelines begin when all are new."""
+    async def roll(world: World) -> None:
+        old = production()
+        count = len(world.settings)
+        world.programs = [old] * count
+        world.crash(*range(count))
+        rng = world.rng
+        await trio.sleep(30.0)
+        for n in rng.sample(range(count), count):
+            world.programs[n] = Node
+            world.crash(n, *([rng.randrange(count)] if rng.random() < 0.5 else []))
+            if rng.random() < 0.2:
+                world.crash(*range(count))
+            await trio.sleep(rng.uniform(2.0, 12.0))
+        assert all(isinstance(node, Node) for node in world.nodes.values())
+        await trio.sleep(10.0)
+        limit_state(world)
+
+    later = [
+        {**job, "delay": job["delay"] + 80.0,
+         "awaits": [f"wk-{int(name[3:]) + len(MIX):06d}" for name in job.get("awaits", ())]}
+        for job in PIPES
+    ]
+    settings = with_next(some_controllers(tmp_path, 5, "ab" if seed % 2 else "a"))
+    world = play(settings, 200 + seed, MIX + later, roll, 300.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+
+
 def test_controllers_that_refuse_each_other_keep_what_runs(tmp_path: Path) -> None:
     """Found by reading: a leader that hears no other owner took their machines for ones
     that never booted, and returned them with all that was on them."""
@@ -245,12 +444,19 @@
         await ask("cancel unknown", "POST", f"{jobs}/wk-779/cancel")
         await ask("cancel done", "POST", f"{jobs}/wk-000001/cancel")
         await ask("path", "GET", "/v2")
+        await ask("awaits itself", "POST", jobs, job_body("wk-782", awaits=["wk-782"]))
+        await ask("awaits unknown", "POST", jobs, job_body("wk-782", awaits=["wk-000001", "wk-7"]))
+        await ask("awaits malformed", "POST", jobs, job_body("wk-782", awaits="wk-000001"))
+        await ask("too long", "POST", jobs, job_body("wk-783", builds=["small", "x" * 20_000]))
+        await ask("known, unknown needs", "POST", jobs, job_body("wk-000001", awaits=["wk-7"]))
+        await ask("refused is unknown", "GET", f"{jobs}/wk-782")
         await ask("report", "POST", "/checkin", {"host": "m-1"})
         world.state.outage = True
         await ask("poll in outage", "GET", f"{jobs}/wk-000001")
         await ask("unknown in outage", "GET", f"{jobs}/wk-779")
         await ask("submit in outage", "POST", jobs, job_body("wk-780"))
         await ask("never in outage", "POST", jobs, job_body("wk-781", cpus=99.0))
+        await ask("needs in outage", "POST", jobs, job_body("wk-782", awaits=["wk-7"]))
 
     world = play(controllers, 8, MIX[:1], edges, 45.0)
     assert world.checker.broken == []
@@ -259,7 +465,9 @@
         "map": 400, "missing": 400, "never": 422, "known, malformed": 200,
         "known, never": 200, "unknown": 404, "cancel unknown": 404, "cancel done": 200,
         "path": 404, "report": 400, "poll in outage": 503, "unknown in outage": 503,
-        "submit in outage": 503, "never in outage": 503,
+        "submit in outage": 503, "never in outage": 503, "awaits itself": 422,
+        "awaits unknown": 422, "awaits malformed": 400, "too long": 400,
+        "known, unknown needs": 200, "refused is unknown": 404, "needs in outage": 503,
     }
     assert got["cancel done"][1]["status"] == "done"
     assert max(took.values()) < 2.0
@@ -307,7 +515,7 @@
 @pytest.mark.parametrize(
     "rule",
     ["ran_twice", "quota", "wrong_place", "ran_cancelled", "forgotten", "invented",
-     "not_done", "went_back"],
+     "not_done", "went_back", "too_early", "orphaned"],
 )
 def test_each_rules_checker_can_fail(controllers: list[Settings], rule: str) -> None:
     """The world is made to break each rule by hand, and the checker says so."""
@@ -325,6 +533,7 @@
                 "loaners": True, "together": False, "spread": False,
             }
             checker.specs["wk-1"] = spec
+            checker.specs["wk-2"] = {**spec, "awaits": ["wk-1"]}
             one.tasks["wk-1/0"] = Attempt(1, "running")
             checker.started(one, "wk-1/0")
             assert checker.broken == []
@@ -349,6 +558,14 @@
                     checker.answered("wk-9", 200, {"status": "queued"}, "poll")
                 case "not_done":
                     checker.answered("wk-1", 200, {"status": "done"}, "poll")
+                case "too_early":
+                    one.tasks["wk-2/0"] = Attempt(1, "running")
+                    checker.started(one, "wk-2/0")
+                case "orphaned":
+                    checker.cancelled_at["wk-1"] = trio.current_time()
+                    checker.answered("wk-2", 200, {"status": "queued"}, "poll")
+                    await trio.sleep(36.0)
+                    checker.answered("wk-2", 200, {"status": "queued"}, "poll")
                 case "went_back":
                     world.results = {f"wk-1/{i}" for i in range(4)}
                     checker.answered("wk-1", 200, {"status": "done"}, "poll")
--- a/tests/world.py
+++ b/tests/world.py
@@ -3,6 +3,7 @@
 checker for every rule of the protocol. Time is trio's MockClock; luck is seeded.
 """
 
+import json
 import random
 from collections import defaultdict
 from collections.abc import Awaitable, Callable, Iterator
@@ -57,6 +58,24 @@
         self.check_quota(on)
         self.check_place(worker, task, on)
         self.check_cancelled(task)
+        self.check_needs(task)
+
+    def needs_of(self, uid: str) -> set[str]:
+        """All jobs that this one needs, directly or through others."""
+        found: set[str] = set()
+        todo = [uid]
+        while todo:
+            new = set(self.specs.get(todo.pop(), {}).get("awaits") or ()) - found
+            found |= new
+            todo += new
+        return found
+
+    def check_needs(self, task: str) -> None:
+        for name in self.specs[task.rpartition("/")[0]].get("awaits") or ():
+            pieces = self.specs[name]["pieces"]
+            done = sum(f"{name}/{i}" in self.world.results for i in range(pieces))
+            if done < pieces:
+                self.broke("too_early", f"{task} before {name}: {done} of {pieces}")
 
     def check_quota(self, on: list["Worker"]) -> None:
         used: dict[str, float] = defaultdict(float)
@@ -85,10 +104,12 @@
             self.broke("wrong_place", f"{task} on {worker.name} in {worker.zone}: {dict(zones)}")
 
     def check_cancelled(self, task: str) -> None:
-        at = self.cancelled_at.get(task.rpartition("/")[0])
+        uid = task.rpartition("/")[0]
         limit = self.world.settings[0].settings.workers.cancel_s
-        if at is not None and trio.current_time() > at + limit:
-            self.broke("ran_cancelled", task)
+        for name in (uid, *self.needs_of(uid)):
+            at = self.cancelled_at.get(name)
+            if at is not None and trio.current_time() > at + limit:
+                self.broke("ran_cancelled", task)
 
     def answered(self, uid: str, status: int, body: Any, asked: str) -> None:
         if uid in self.accepted and (status == 404 or (asked == "submit" and status in (400, 422))):
@@ -106,9 +127,15 @@
         if now in ("done", "cancelled"):
             self.final[uid] = now
         if now == "cancelled":
-            if uid not in self.asked_to_cancel:
+            if not {uid, *self.needs_of(uid)} & self.asked_to_cancel:
                 self.broke("went_back", f"{uid} is cancelled, which nobody asked for")
             self.cancelled_at.setdefault(uid, trio.current_time())
+        if now in ("queued", "running"):
+            limit = self.world.settings[0].settings.workers.cancel_s
+            for name in self.needs_of(uid):
+                at = self.cancelled_at.get(name)
+                if at is not None and trio.current_time() > at + limit:
+                    self.broke("orphaned", f"{uid} is {now}, {name} was cancelled")
         if now == "done":
             pieces = self.specs[uid]["pieces"]
             done = sum(f"{uid}/{i}" in self.world.results for i in range(pieces))
@@ -224,7 +251,9 @@
         self.log: list[tuple[int, dict[str, Any]]] = []
         self.leases: dict[int, tuple[float, float]] = {}  # ttl, end
         self.outage = False
-        self.refused: set[str] = set()
+        self.value_kb, self.txn_ops = 16.0, 12
+        self.refused_writes = 0  # for their size or number
+        self.keys: set[str] = set()  # all that were ever written
         self._leases = 0
 
     def end_outage(self) -> None:
@@ -298,8 +327,14 @@
         return Reply(400, {"error": f"{method} {path}"})
 
     def _multi(self, raw: Any) -> Reply:
-        if len(raw["apply"]) > 12 or len(raw["if"]) > 48:
+        if len(raw["apply"]) > self.txn_ops or len(raw["if"]) > 4 * self.txn_ops:
+            self.refused_writes += 1
             return Reply(400, {"error": "too many"})
+        for change in raw["apply"]:
+            size = len(json.dumps(change.get("data")))
+            if size > 1024 * self.value_kb:
+                self.refused_writes += 1
+                return Reply(400, {"error": "too large"})
         for change in raw["apply"]:
             if change.get("tenure") is not None and change["tenure"] not in self.leases:
                 return Reply(400, {"error": "no such lease"})
@@ -314,6 +349,7 @@
         for change in raw["apply"]:
             if "write" in change:
                 key = change["write"]
+                self.keys.add(key)
                 self.data[key] = (change["data"], self.revision, change.get("tenure"))
                 event = {"write": key, "data": change["data"], "stamp": self.revision}
                 self.log.append((self.revision, event))
@@ -539,6 +575,10 @@
             self.changed.set()
 
 
+# Makes a controller of settings, network, clock and randomness.
+Program = Callable[..., Any]
+
+
 class World:
     def __init__(self, settings: list[Settings], seed: int) -> None:
         self.settings = settings
@@ -551,7 +591,9 @@
         self.workers: dict[str, Worker] = {}
         self.results: set[str] = set()
         self.scopes: list[trio.CancelScope] = [trio.CancelScope() for _ in settings]
-        self.nodes: dict[int, Node] = {}
+        self.nodes: dict[int, Any] = {}
+        # What runs as a controller; a roll replaces it, one after the other.
+        self.programs: list[Program] = [Node for _ in settings]
         self.nursery: trio.Nursery
         self._machines = 0
         self._restarts = 0
@@ -571,7 +613,7 @@
             self._restarts += 1
             rng = random.Random(f"{n}-{self._restarts}")
             with trio.CancelScope() as self.scopes[n]:
-                node = Node(
+                node = self.programs[n](
                     self.settings[n], self.network.at(host),
                     lambda: WALL + trio.current_time(), rng,
                 )
@@ -622,13 +664,18 @@
         return status, answer
 
     async def user(self, uid: str, delay: float, changes: dict[str, Any]) -> None:
-        """Submits until accepted, polls until over, cancels if told to."""
+        """Submits until accepted, polls until over, cancels if told to. Waits before until
+        those that the job needs are accepted, or, if it is to come late, are over."""
         checker = self.checker
+        late = changes.pop("late", False)
         cancel_after = changes.pop("cancel_after", None)
         really = changes.pop("really", 8.0)
         broken = changes.pop("broken", False)
         body = job_body(uid, **changes)
         await trio.sleep(delay)
+        for name in changes.get("awaits", ()):
+            while name not in (checker.final if late else checker.accepted):
+                await trio.sleep(0.2)
         checker.specs[uid] = {**body, "really": really, "broken": broken}
         while uid not in checker.accepted:
             status, answer = await self.ask("POST", "/v1/jobs", body)
