--- a/tests/test_config.py
+++ b/tests/test_config.py
@@ -20,6 +20,10 @@
         ("nodes = 3", "", "nodes"),
         ("cpus = 16.0", "cpus = 99.0", "red"),
         ("rps = 100.0", "rps = 0.0", "rps"),
+        ("txn_ops = 12", "txn_ops = 12\n[settings.state.next]\ntxn_ops = 0", "txn_ops"),
+        ("txn_ops = 12", 'txn_ops = 12\n[settings.state.next]\nvalue_kb = "2"', "value_kb"),
+        ("txn_ops = 12", "txn_ops = 12\n[settings.state.next]\nvalue_kb = 0.1", "value_kb"),
+        ("nodes = 3", "nodes = 99", "txn_ops"),
         ("[settings]", "[settings", "TOML"),
     ],
 )
@@ -35,6 +39,15 @@
     assert says in result.output
 
 
+def test_the_smaller_of_present_and_coming_limits_counts(tmp_path: Path) -> None:
+    path = tmp_path / "s.toml"
+    coming = "txn_ops = 12\n[settings.state.next]\nvalue_kb = 2.0\nwrite_rps = 99.0\n"
+    path.write_text(settings_text().replace("txn_ops = 12\n", coming))
+    limits = load(path).state_limits
+    assert (limits.value_kb, limits.txn_ops, limits.write_rps) == (2.0, 12, 40.0)
+    assert limits.value_bytes < 2048
+
+
 def test_unknown_settings_are_ignored(tmp_path: Path) -> None:
     path = tmp_path / "s.toml"
     path.write_text('new_field = 1\n' + settings_text() + "[extra]\nx = 1\n")
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -1,11 +1,20 @@
 """The leader's decisions, with parts and cloud described by hand."""
 
+import msgspec
 import pytest
 from conftest import job_body
 
-from ryegauge.bookkeeping.jobbook import JobBook, Share, job_key, job_record, share_key
+from ryegauge.bookkeeping.jobbook import (
+    JobBook,
+    Share,
+    job_key,
+    job_record,
+    share_key,
+    value_bytes,
+)
+from ryegauge.bookkeeping.ranges import Ranges
 from ryegauge.bookkeeping.state import Event
-from ryegauge.config import Settings
+from ryegauge.config import NextState, Settings
 from ryegauge.coordination.leader import Leader
 from ryegauge.coordination.needs import never_runs
 from ryegauge.coordination.parting import Parting
@@ -19,6 +28,7 @@
 
 class Lead:
     def __init__(self, settings: Settings) -> None:
+        self.settings = settings
         self.book = JobBook()
         self.parting = Parting(settings)
         self.revision = 0
@@ -232,3 +242,94 @@
     for changes, never in cases:
         spec = parse_job(job_body(**changes))
         assert (never_runs(spec, types, teams) is not None) == never, changes
+
+
+# -- pipelines ---------------------------------------------------------------------------
+
+
+def done(lead: Lead, uid: str, tasks: int = 4) -> None:
+    lead.put(share_key(uid, 0), {"t": {}, "d": [0, tasks]})
+
+
+def test_what_waits_for_others_holds_and_causes_nothing(lead: Lead) -> None:
+    """No allotments, rentals or part of the guarantee before its time."""
+    lead.job("wk-000001", pieces=4, cpus=1.0)
+    lead.job("wk-000002", pieces=16, cpus=2.0, awaits=["wk-000001"], urgency="high")
+    lead.job("wk-000003", pieces=4, cpus=2.0)
+    lead.machine("m-1")
+    assert lead.round() == {"wk-000001": 4}
+    assert lead.last.rentals != []  # for the third job
+    lead.allot("wk-000001", 0, [0, 1, 2, 3])
+    lead.allot("wk-000003", 0, [0, 1, 2, 3])
+    assert lead.round() == {}
+    assert lead.last.rentals == []
+    done(lead, "wk-000001")
+    for n in range(2, 12):
+        lead.machine(f"m-{n}")
+    assert lead.round() == {"wk-000002": 12}  # the limit of the team, 32 CPUs
+
+
+def test_deadline_and_priority_pass_back_to_the_first_stage(lead: Lead) -> None:
+    """Of two jobs alike the one goes first that an urgent job waits for, also when that
+    one arrives later; one that is cancelled passes nothing back."""
+    lead.machine("m-1")
+    for n in (1, 2):
+        lead.job(f"wk-00000{n}", pieces=2, urgency="best_effort", dueS=None, crew="blue")
+    assert lead.round() == {"wk-000001": 2}
+    lead.job("wk-000004", awaits=["wk-000002"], urgency="best_effort", dueS=None, crew="blue")
+    assert lead.round() == {"wk-000001": 2}
+    lead.job("wk-000005", awaits=["wk-000004"], urgency="high", dueS=90.0, crew="blue")
+    assert lead.round() == {"wk-000002": 2}
+    assert lead.leader._urgencies.rank(lead.book.jobs["wk-000002"]) == 1
+    finish = lead.leader._urgencies.latest_finish(lead.book.jobs["wk-000002"])
+    assert NOW + 90.0 - 2 * 25.0 < finish < NOW + 90.0 - 2 * 20.0
+    spec = parse_job(job_body("wk-000005"))
+    lead.put(job_key("wk-000005"), job_record(spec, NOW, True))
+    assert lead.round() == {"wk-000001": 2}
+
+
+def test_a_share_is_given_no_more_than_its_record_can_hold(lead: Lead) -> None:
+    """Each task may come to be a range of its own; a record that has become too large
+    could never be written again, and its tasks would be lost to the job."""
+    team = msgspec.structs.replace(lead.settings.settings.teams[0], cpus_max=1e6)
+    state = msgspec.structs.replace(
+        lead.settings.settings.state, next=NextState(value_kb=2.0, txn_ops=4)
+    )
+    shared = msgspec.structs.replace(
+        lead.settings.settings, teams=[team, lead.settings.settings.teams[1]], state=state
+    )
+    settings = msgspec.structs.replace(lead.settings, settings=shared)
+    lead.leader = Leader(9, lead.book, settings, NOW)
+    huge = MachineType("huge", 1e5, 1e6, 0.4, 10.0, ["a"], spot_price=0.1)
+    lead.leader.types = {"huge": huge}
+    lead.machine("m-1", type="huge")
+    lead.job("wk-000001", pieces=100_000, cpus=1.0, memoryGb=0.1)
+    lead.round()
+    ((_, part),) = lead.last.allotments
+    held = list(lead.last.allotments["wk-000001", part].tasks)
+    assert len(held) > 80
+    limit = settings.state_limits.value_bytes
+    worst = Share({"a": Ranges.of(n + 99_000 for n in held[::2])},
+                  Ranges.of(n + 99_000 for n in held[1::2]), 0)
+    assert value_bytes(worst.to_record()) <= limit
+    # What is held and what is done count already.
+    lead.put(share_key("wk-000001", part), {"t": {"": [0, 60]}, "d": [100, 101, 102, 103]})
+    lead.round()
+    again = lead.last.allotments["wk-000001", part]
+    assert len(again.tasks) + 2 == len(held)
+
+
+def test_room_of_tasks_that_have_ended_is_free_before_they_are_written(lead: Lead) -> None:
+    """Found by measurement: what a part held by the book took its room until the outcome
+    was written, and writes were scarce: hundreds of tasks waited beside free machines."""
+    lead.machine("m-1", zone="c")
+    part = lead.part_of("m-1")
+    lead.job("wk-000001", pieces=4, cpus=2.0)
+    lead.allot("wk-000001", part, [0, 1])
+    lead.job("wk-000002", pieces=4, cpus=2.0, crew="blue")
+    assert lead.round() == {}
+    view = PartView("node-0", part, lead.book.parts[part].token, lead.revision,
+                    [lead.machines["m-1"]], leaving=[("wk-000001", 2)])
+    lead.leader.on_view(view, lead.now)
+    assert next(iter(lead.leader.round(lead.now, lead.now).allotments))[0] in (
+        "wk-000001", "wk-000002")
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -1,11 +1,21 @@
 """One part's owner, message by message: what must never be commanded."""
 
+import msgspec
 import pytest
 from conftest import job_body
 
-from ryegauge.bookkeeping.jobbook import JobBook, Share, job_key, job_record, share_key
+from ryegauge.bookkeeping.jobbook import (
+    JobBook,
+    Share,
+    cancelled_record,
+    job_key,
+    job_record,
+    page_key,
+    share_key,
+    value_bytes,
+)
 from ryegauge.bookkeeping.state import Event
-from ryegauge.config import Settings
+from ryegauge.config import NextState, Settings
 from ryegauge.coordination.part import PartOwner
 from ryegauge.protocol.cloud import MachineType
 from ryegauge.protocol.jobs import parse_job
@@ -239,3 +249,52 @@
     machine = part.owner.machines["m-4"]
     machine.strikes = 2
     assert not part.owner.view("node-0", 1, part.now).machines[-1].open
+
+
+def test_a_share_that_grew_too_large_is_moved_out_piece_by_piece(settings: Settings) -> None:
+    """Written when larger values were allowed: its done tasks go to records of their own
+    first, and only then out of the share, so that none is ever missing or counted twice."""
+    state = msgspec.structs.replace(
+        settings.settings.state, next=NextState(value_kb=2.0, txn_ops=4)
+    )
+    shared = msgspec.structs.replace(settings.settings, state=state)
+    settings = msgspec.structs.replace(settings, settings=shared)
+    limit = settings.state_limits.value_bytes
+    part = Part(settings, [])
+    spec = parse_job(job_body(pieces=100_000))
+    part.put(job_key(UID), None)
+    part.put(job_key(UID), job_record(spec, 0.0, False))
+    part.allot([99_999], list(range(0, 2400, 2)))
+    job = part.book.jobs[UID]
+    assert value_bytes({"d": job.shares[0].done.flat()}) > 4 * limit
+    written = 0
+    while (entry := part.owner.pending()[0]).pages:
+        assert job.done_count == 1200
+        for page in entry.pages[:4]:
+            assert value_bytes({"d": page.flat()}) <= limit
+            part.put(page_key(UID, 0, written), {"d": page.flat()})
+            written += 1
+    assert written > 4
+    assert job.done_count == 1200
+    assert value_bytes(entry.share.to_record()) <= limit
+    part.put(share_key(UID, 0), entry.share.to_record())
+    assert job.done_count == 1200
+    assert 99_999 not in job.open_tasks
+    assert 1 in job.open_tasks
+    assert 2 not in job.open_tasks
+    assert part.pending() == {}
+    again = JobBook()
+    again.replace([Event(job_key(UID), job_record(spec, 0.0, False), 1),
+                   *(Event(page_key(UID, p, n), {"d": tasks.flat()}, 1)
+                     for (p, n), tasks in job.sealed.items())], 2)
+    assert again.jobs[UID].done_count == 1200
+
+
+def test_a_cancellation_fits_whatever_the_job_was_recorded_with() -> None:
+    spec = parse_job(job_body(builds=["small", *(f"other-{n}" for n in range(400))],
+                              kit="i" * 500, duty="d" * 500))
+    assert value_bytes(job_record(spec, 0.0, False)) > 4000
+    record = cancelled_record(spec, 0.0, 1900)
+    assert value_bytes(record) <= 1900
+    assert parse_job(record["s"]).tasks == spec.tasks
+    assert record["x"] is True
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -183,7 +183,7 @@
     assert world.checker.broken == []
     assert got["first"]["status"] == "queued"
     assert len(got["waits"]["awaits"]) > 100
-    assert any(key.startswith("r/w/wk-9999/") for key in world.state.keys)
+    assert any(key.startswith("r/w/wk-9999/") for key, _ in world.state.written)
     assert got["again"][0] == 200
     assert got["again"][1]["status"] == "done"
 
--- a/tests/world.py
+++ b/tests/world.py
@@ -253,7 +253,7 @@
         self.outage = False
         self.value_kb, self.txn_ops = 16.0, 12
         self.refused_writes = 0  # for their size or number
-        self.keys: set[str] = set()  # all that were ever written
+        self.written: list[tuple[str, Any]] = []
         self._leases = 0
 
     def end_outage(self) -> None:
@@ -349,7 +349,7 @@
         for change in raw["apply"]:
             if "write" in change:
                 key = change["write"]
-                self.keys.add(key)
+                self.written.append((key, change["data"]))
                 self.data[key] = (change["data"], self.revision, change.get("tenure"))
                 event = {"write": key, "data": change["data"], "stamp": self.revision}
                 self.log.append((self.revision, event))
