--- a/ryegauge/bookkeeping/state.py
+++ b/ryegauge/bookkeeping/state.py
@@ -12,6 +12,9 @@
 # After a 429: a small part of the second that the service's bursts are worth.
 RETRY_S = 0.05
 
+# What all controllers' parts of the changes come to, of the limit.
+OVERCOMMIT = 1.6
+
 # Sends a request by way of a peer; None if no peer got an answer for us.
 Relayer = Callable[[str, str, Any, float], Awaitable[tuple[int, Any] | None]]
 
@@ -68,10 +71,11 @@
 
     def share(self, live: int, leads: bool) -> None:
         """Our part of the limits, which all live controllers have in common. The leader
-        writes for all of them, so about half of the writes are its own. Bursts may take
-        what others happen to leave: 429 says that nothing was executed."""
-        weight, total = ((live + 1) / 2, (3 * live - 1) / 2) if leads else (1.0, (3 * live - 1) / 2)
-        part = min(1.0, weight / total)
+        writes for all of them, so most of the writes are its own. Together the parts are
+        more than there is, since seldom do all need theirs at once: what was unused by
+        one was missing to another, and 429 says that nothing was executed."""
+        total = (3 * live - 1) / 2
+        part = min(1.0, OVERCOMMIT * ((live + 1) / 2 if leads else 1.0) / total)
         self.requests.resize(self._rps / live, self._rps / live)
         self.writes.resize(self._write_rps * part, self._write_rps * max(part, 0.5))
 
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -6,7 +6,9 @@
 
 import logging
 import math
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any
 
 from ryegauge.bookkeeping.jobbook import Job, JobBook, Share, span_bytes
 from ryegauge.bookkeeping.ranges import Ranges
@@ -290,11 +292,13 @@
         views = self._fresh_views(now)
         running = self._running(now, views)
         self._in_transit(running, views)
-        within = self._within_guarantee()
+        within = self._within_guarantee(lambda job: job.ready_at)
         self._urgencies = Urgencies(
             self._book, self._settings, self.estimates, self.types.values()
         )
-        needs, jobs = self._needs(within)
+        # A team's urgent jobs have its guarantee too, whatever came earlier.
+        first = self._within_guarantee(lambda job: (self._urgencies.rank(job), job.ready_at))
+        needs, jobs = self._needs(within | first)
         market = Market(
             types=self.types,
             refused={key for key, (until, _) in self._refused.items() if until > now},
@@ -491,12 +495,12 @@
             needs.append(make_need(job, count, zones, self.estimates, finish, sizes))
         return needs, {job.spec.uid: job for _, job, _ in ranked}
 
-    def _within_guarantee(self) -> set[str]:
-        """Jobs that fit into their team's guarantee together with the team's earlier
-        unfinished jobs: they need not wait for other teams."""
+    def _within_guarantee(self, order: Callable[[Job], Any]) -> set[str]:
+        """Jobs that fit into their team's guarantee together with those of the team's
+        unfinished jobs that come earlier in the order: they need not wait for other
+        teams. Jobs that wait for others hold no part of it."""
         unfinished = sorted(
-            (job for job in self._book.live.values() if not job.over),
-            key=lambda job: job.ready_at,
+            (job for job in self._book.live.values() if not job.over), key=order
         )
         cpus: dict[str, float] = {}
         gpus: dict[str, float] = {}
