--- a/ryegauge/bookkeeping/state.py
+++ b/ryegauge/bookkeeping/state.py
@@ -203,8 +203,10 @@
                 # Not executed: another controller's burst took what there was.
                 if trio.current_time() > until:
                     raise
+                # What users wait for tries again at once; the rest makes way.
                 await trio.sleep(RETRY_S)
-                await self.writes.take(1.0, URGENT)
+                if reserve > SOON:
+                    await self.writes.take(1.0, URGENT)
         if status == 200:
             return int(answer["ledger"])
         if status == 409:
