--- /dev/null
+++ b/ryegauge/cli/controller.py
@@ -0,0 +1,31 @@
+"""Running a controller, and checking its files without starting anything."""
+
+import click
+
+from ryegauge.cli.common import config_option, fail, properties_option
+from ryegauge.config import ConfigError, load
+
+
+@click.command()
+@config_option
+@properties_option
+def serve(config: str, properties: str | None) -> None:
+    """Run a controller until it is killed."""
+    from ryegauge.service import serve as run
+
+    run(config, properties)
+
+
+@click.command("check-config")
+@config_option
+@properties_option
+def check_config(config: str, properties: str | None) -> None:
+    """Check a settings file, and the properties, without starting anything."""
+    try:
+        settings = load(config, properties)
+    except ConfigError as error:
+        fail(str(error), 2)
+    click.echo(
+        f"{config}: good: controller {settings.node_name} of {settings.settings.nodes}, "
+        f"{len(settings.settings.teams)} teams, term of authority {settings.term_s:.3g} s"
+    )
--- /dev/null
+++ b/ryegauge/coordination/commands.py
@@ -0,0 +1,63 @@
+"""Commands sent straight to the workers."""
+
+import logging
+
+import trio
+
+from ryegauge.coordination.desk import Desk
+from ryegauge.coordination.part import PartOwner
+from ryegauge.protocol.workers import Command, parse_report, report_reply
+from ryegauge.transport.http import Caller, Malformed, Unreachable, split_address
+
+log = logging.getLogger(__name__)
+
+
+class Commands:
+    def __init__(self, desk: Desk) -> None:
+        self._desk = desk
+        self._workers: dict[str, Caller] = {}
+        self.placed = trio.Event()
+
+    async def push(self) -> None:
+        """Sends starts straight to the workers instead of waiting for their reports."""
+        async with trio.open_nursery() as nursery:
+            while True:
+                await self.placed.wait()
+                self.placed = trio.Event()
+                now = trio.current_time()
+                if not self._desk.term.valid(now):
+                    continue
+                for owner in list(self._desk.owned.values()):
+                    for name, address, session, commands in owner.to_push(now):
+                        nursery.start_soon(self._push, owner, name, address, session, commands)
+
+    async def _push(
+        self, owner: PartOwner, name: str, address: str, session: int, commands: list[Command]
+    ) -> None:
+        body = report_reply(owner.token, commands)
+        body["shift"] = session
+        try:
+            client = self._worker_client(address)
+            status, answer, _ = await client.request(
+                "POST", "/commands", body, timeout_s=self._desk.report_s
+            )
+            if status not in (200, 409):
+                return
+            report = parse_report(answer)
+        except (Unreachable, Malformed, ValueError) as error:
+            log.debug("%s: commands without an answer: %s", name, error)
+            return
+        if self._desk.owned.get(owner.part) is owner:
+            owner.pushed(name, session, commands)
+            if report.token <= owner.token:
+                owner.on_report(report, trio.current_time(), checkin=False)
+
+    def _worker_client(self, address: str) -> Caller:
+        client = self._workers.pop(address, None)
+        if client is None:
+            split_address(address)  # raises ValueError for what is none
+            client = self._desk.network.client(address, max_connections=2, idle_s=self._desk.idle_s)
+        self._workers[address] = client  # the latest used is last
+        if len(self._workers) > self._desk.settings.settings.quota.max_connections // 8:
+            self._workers.pop(next(iter(self._workers))).close()
+        return client
--- /dev/null
+++ b/ryegauge/coordination/fleet.py
@@ -0,0 +1,234 @@
+"""The machines as the cloud tells of them: what is rented, on its way, refused and to be
+returned. No I/O and no clock; the loops in `cloud` make the calls.
+"""
+
+from collections.abc import Callable
+
+from ryegauge.config import Settings
+from ryegauge.coordination.parting import Parting
+from ryegauge.coordination.views import PartState
+from ryegauge.protocol.cloud import ListedMachine, MachineType
+from ryegauge.protocol.peers import MachineView
+from ryegauge.scheduling.planner import Plan, Rental, Room, whole_room
+from ryegauge.scheduling.takeback import TakebackShare
+
+
+class Rented:
+    """A machine as the cloud knows it."""
+
+    __slots__ = ("failed", "idle_since", "listed", "name", "noticed", "part", "reported",
+                 "running_since", "since", "spot", "type", "zone")
+
+    def __init__(
+        self, name: str, part: int, type_: str, zone: str, spot: bool, since: float
+    ) -> None:
+        self.name = name
+        self.part = part
+        self.type = type_
+        self.zone = zone
+        self.spot = spot
+        self.since = since  # rental request, in our clock
+        self.listed = False
+        self.failed = False
+        self.reported = False  # some part's owner has heard from it
+        self.noticed = False
+        self.idle_since: float | None = None
+        self.running_since: float | None = None  # listed as running
+
+
+class Fleet:
+    def __init__(self, settings: Settings, now: float) -> None:
+        self._settings = settings
+        self._since = now
+        self._parting = Parting(settings)
+        self.types: dict[str, MachineType] = {}  # with current prices
+        self.machines: dict[str, Rented] = {}
+        self.listed_once = False
+        # Rental requests under way or of unknown outcome: rental -> until when to count.
+        self._expected: list[tuple[Rental, float, float]] = []
+        self._refused: dict[tuple[str, str, bool], tuple[float, float]] = {}
+        self.gone: dict[str, float] = {}  # surely released, and when
+        self.retire: set[str] = set()  # to be returned once their owner says they are empty
+        self.takeback = TakebackShare(settings.properties.takeback_window_s)
+
+    def add(self, name: str, type_: str, zone: str, spot: bool, since: float) -> Rented:
+        part = self._parting.part_of(name, zone)
+        rented = self.machines[name] = Rented(name, part, type_, zone, spot, since)
+        if spot:
+            self.takeback.began(name, since)
+        return rented
+
+    def on_list(
+        self, machines: list[ListedMachine], now: float, heard: Callable[[int, str, float], bool]
+    ) -> None:
+        """A whole list. Once listed a machine stays listed until it is gone, but a list
+        may be older than the one before: only a machine that stays away for twice the
+        lag is dropped from the fleet, and nothing is concluded for its tasks."""
+        self.listed_once = True
+        seen: set[str] = set()
+        for entry in machines:
+            if entry.name in self.gone:
+                continue
+            seen.add(entry.name)
+            rented = self.machines.get(entry.name)
+            if rented is None:
+                rented = self.add(
+                    entry.name, entry.type, entry.zone, entry.spot, now - entry.age_s
+                )
+            rented.listed = True
+            rented.failed = entry.state == "failed"
+            if entry.state == "running" and rented.running_since is None:
+                rented.running_since = now
+        for rented in list(self.machines.values()):
+            missing = rented.listed and rented.name not in seen
+            if missing and not heard(rented.part, rented.name, now):
+                self._lost(rented, now, taken=rented.spot)
+
+    def shown(self, machine: MachineView, now: float) -> None:
+        """A part's owner has described a machine."""
+        rented = self.machines.get(machine.name)
+        if rented is None:
+            if machine.name in self.gone:
+                return
+            # A surprise: rented by an earlier leader, or executed late.
+            rented = self.add(machine.name, machine.type, machine.zone, machine.spot, now)
+        rented.reported = True
+        rented.noticed = rented.noticed or machine.notice
+        if machine.empty:
+            if rented.idle_since is None:
+                rented.idle_since = now
+        else:
+            rented.idle_since = None
+
+    def _lost(self, rented: Rented, now: float, taken: bool) -> None:
+        del self.machines[rented.name]
+        self.retire.discard(rented.name)
+        # Its room may be had again.
+        self._refused.pop((rented.type, rented.zone, rented.spot), None)
+        if rented.spot:
+            self.takeback.ended(rented.name, now, taken)
+
+    def renting(self, rental: Rental, now: float) -> None:
+        """A request is being sent; until it is answered its machines are counted on."""
+        self._expected.append((rental, now, now + 2 * self._settings.settings.cloud.list_lag_s + 5))
+
+    def rented(self, rental: Rental, names: list[str], now: float) -> None:
+        self._settle(rental)
+        for name in names:
+            if name not in self.machines and name not in self.gone:
+                self.add(name, rental.type, rental.zone, rental.spot, now)
+        if len(names) < rental.count:
+            self.refused(rental, now)
+
+    def refused(self, rental: Rental, now: float, settle: bool = False) -> None:
+        if settle:
+            self._settle(rental)
+        key = (rental.type, rental.zone, rental.spot)
+        _, pause = self._refused.get(key, (0.0, 0.0))
+        least = self._settings.settings.cloud.list_lag_s
+        pause = min(max(least, 2 * pause), 2 * least)
+        self._refused[key] = (now + pause, pause)
+
+    def not_executed(self, rental: Rental) -> None:
+        self._settle(rental)
+
+    def _settle(self, rental: Rental) -> None:
+        self._expected = [e for e in self._expected if e[0] is not rental]
+
+    def released(self, names: list[str], now: float) -> None:
+        for name in names:
+            self.gone[name] = now
+            if (rented := self.machines.get(name)) is not None:
+                self._lost(rented, now, taken=rented.noticed)
+
+    # -- a round --------------------------------------------------------------------------
+
+    def forget(self, now: float) -> None:
+        """Names of released machines, once no late word of them can come any more."""
+        lasting = 10 * self._settings.settings.workers.lease_s
+        self.gone = {name: at for name, at in self.gone.items() if now - at < lasting}
+
+    def refused_now(self, now: float) -> set[tuple[str, str, bool]]:
+        return {key for key, (until, _) in self._refused.items() if until > now}
+
+    @property
+    def longest_boot_s(self) -> float:
+        return max((t.boot_s for t in self.types.values()), default=0.0)
+
+    def starting(self, now: float) -> list[Room]:
+        rooms: list[Room] = []
+        for r in self.machines.values():
+            type_ = self.types.get(r.type)
+            if type_ is None or r.failed or r.reported or r.name in self.retire:
+                continue
+            if now - r.since > self._boot_limit_s(type_):
+                continue
+            room = whole_room(type_, r.name, r.zone, r.spot)
+            room.ready_s = max(1.0, type_.boot_s - (now - r.since))
+            rooms.append(room)
+        self._expected = [e for e in self._expected if e[2] > now]
+        for rental, since, _ in self._expected:
+            type_ = self.types.get(rental.type)
+            if type_ is not None:
+                for i in range(rental.count):
+                    room = whole_room(type_, f"?{since}-{i}", rental.zone, rental.spot)
+                    room.ready_s = type_.boot_s
+                    rooms.append(room)
+        return rooms
+
+    def _boot_limit_s(self, type_: MachineType) -> float:
+        # Boots take up to 1.5 times the nominal time as a rule, some several times.
+        return 3.0 * type_.boot_s
+
+    def returns(
+        self, decided: Plan, now: float, views: dict[int, PartState], silent_parts: set[int]
+    ) -> list[str]:
+        props = self._settings.properties
+        releases: list[str] = []
+        for r in self.machines.values():
+            type_ = self.types.get(r.type)
+            age = now - r.since
+            shown = views[r.part].machines.get(r.name) if r.part in views else None
+            view = None if shown is None else shown.view
+            if r.failed:
+                releases.append(r.name)
+            elif type_ is None:
+                continue
+            elif not r.reported:
+                # Never boots: it is charged until deleted. One that is listed as running
+                # may only be unheard: by a new leader, or since its owner and we cannot
+                # reach each other. Returning it would lose what runs on it.
+                unheard = r.running_since is not None and (
+                    r.part not in views
+                    or now - max(r.running_since, self._since)
+                    < 2 * self._settings.settings.workers.lease_s
+                )
+                if age > self._boot_limit_s(type_) and not unheard:
+                    releases.append(r.name)
+            elif view is None:
+                continue
+            elif view.retiring:
+                self.retire.add(r.name)
+                if view.empty or view.silent_s > self._settings.settings.workers.lease_s:
+                    releases.append(r.name)
+            elif r.name in self.retire:
+                continue  # its owner has not said yet that it puts nothing more there
+            elif (
+                view.empty
+                and r.name not in decided.used
+                and r.idle_since is not None
+                and now - r.idle_since > props.idle_boots * type_.boot_s
+                and age > props.paid_period_s
+            ):
+                # Told first, released once its owner confirms that it stays empty.
+                self.retire.add(r.name)
+            elif r.part not in silent_parts and self._presumed_lost(view):
+                releases.append(r.name)
+        return releases[:100]
+
+    def _presumed_lost(self, view: MachineView) -> bool:
+        """Silent for several reports: most likely taken or dead. Releasing makes that
+        certain before its lease runs out, so that its tasks can start elsewhere. Not if
+        many machines of its part are silent: then it is rather their controller that
+        does not hear them."""
+        return view.silent_s > (2 if view.notice else 3) * self._settings.report_gap_s
--- /dev/null
+++ b/ryegauge/coordination/held.py
@@ -0,0 +1,58 @@
+"""What the owner of a part knows of a task and of a machine."""
+
+from typing import Literal
+
+from ryegauge.protocol.workers import Report, TaskKey, TaskReport
+
+# unseen: allotted before this token; may run on a machine not heard from yet.
+# free: on no machine for certain. placed: its `run` is wanted, never reported.
+# seen: reported alive. leaving: over or handed back; waits to be written.
+Phase = Literal["unseen", "free", "placed", "seen", "leaving"]
+
+
+class Task:
+    __slots__ = (
+        "attempt", "done", "errors", "key", "machine", "moving", "not_before", "phase",
+        "running_since", "sent", "withdrawn", "zone",
+    )
+
+    def __init__(self, key: TaskKey, zone: str, phase: Phase) -> None:
+        self.key = key
+        self.zone = zone
+        self.phase: Phase = phase
+        self.machine: str | None = None
+        self.attempt = 0
+        self.sent = False  # a `run` of this attempt was given
+        self.withdrawn = False  # must not run (any more): cancelled, or its machine goes
+        self.moving = False  # is being stopped here to run elsewhere
+        self.running_since: float | None = None
+        self.not_before = 0.0
+        self.done = False
+        self.errors: set[str] = set()  # machines on which it failed
+
+
+class Machine:
+    __slots__ = (
+        "address", "alive", "direct", "heard_at", "idle_since", "images", "name", "notice_at",
+        "retiring", "spot", "stamp", "strikes", "tasks", "trusted", "type", "zone",
+    )
+
+    def __init__(self, report: Report, now: float) -> None:
+        self.name = report.machine
+        self.type = report.type
+        self.zone = report.zone
+        self.spot = report.spot
+        self.address = report.addr
+        # Attempts sent straight to the worker, without an answer so far: they may
+        # still be started at any time in this session.
+        self.direct: set[tuple[TaskKey, int]] = set()
+        self.trusted = False  # has reported under this token
+        self.stamp = (0, 0)
+        self.heard_at = now
+        self.notice_at: float | None = None  # when the cloud takes it away
+        self.retiring = False
+        self.strikes = 0
+        self.idle_since = now
+        self.images: dict[str, float] = {}  # presumed cached, most recently used last
+        self.tasks: set[TaskKey] = set()  # tasks whose place this is
+        self.alive: dict[tuple[TaskKey, int], TaskReport] = {}  # as last reported
--- /dev/null
+++ b/ryegauge/coordination/leading.py
@@ -0,0 +1,135 @@
+"""The leader's loops: rounds, writing what they allot, and keeping the book small."""
+
+import logging
+
+import trio
+
+from ryegauge.bookkeeping.jobbook import Share, final_key, job_key, outcome_key, share_key
+from ryegauge.bookkeeping.state import Delete, Put, Unavailable, Unknown
+from ryegauge.coordination import archive
+from ryegauge.coordination.cloud import CloudCalls
+from ryegauge.coordination.desk import RETRY, Desk
+from ryegauge.coordination.leader import Leader
+from ryegauge.coordination.terms import LEADER_KEY
+
+log = logging.getLogger(__name__)
+
+# Jobs kept in the book, for each MB that a controller may use.
+JOBS_PER_MB = 10
+
+# Between rounds the leader does nothing for so many times as long as one took.
+ROUND_SHARE = 6.0
+
+
+class Leading:
+    def __init__(self, desk: Desk, cloud: CloudCalls) -> None:
+        self._desk = desk
+        self._cloud = cloud
+
+    async def lead(self) -> None:
+        async with trio.open_nursery() as nursery:
+            while True:
+                with trio.move_on_after(0.5):
+                    await self._desk.changed.wait()
+                # Reports and writes come in flocks; one round serves them all.
+                await trio.sleep(0.05)
+                leader = self._desk.leader
+                now = trio.current_time()
+                if leader is None or not self._desk.term.valid(now):
+                    continue
+                wanted = leader.round(now, self._desk.wall())
+                took_s = trio.current_time() - now
+                self._cloud.start(nursery, leader, wanted.rentals, wanted.releases, now)
+                await self._allot(leader, wanted.allotments)
+                # Check-ins and renewals come first: rounds take a part of the time.
+                await trio.sleep(min(ROUND_SHARE * took_s, self._desk.report_s))
+
+    async def _allot(self, leader: Leader, allotments: dict[tuple[str, int], Share]) -> None:
+        """Writes as many as the budget has now, in order of precedence; what is left is
+        decided anew, since more urgent work may have come by then."""
+        limit = self._desk.settings.state_limits.txn_ops
+        todo = list(allotments.items())
+        written, leader.backlog = 0, False
+        while todo:
+            count = max(1, min(limit, int(self._desk.state.writes.available())))
+            batch, todo = todo[:count], todo[count:]
+            guards = {LEADER_KEY: leader.token}
+            changes: list[Put | Delete] = []
+            for (uid, part), share in batch:
+                job = self._desk.book.jobs.get(uid)
+                if job is None or job.over or not job.ready:
+                    continue
+                guards[job_key(uid)] = job.version
+                guards[share_key(uid, part)] = share.version
+                changes.append(Put(share_key(uid, part), share.to_record()))
+            if not changes:
+                continue
+            try:
+                ledger = await self._desk.state.commit(guards, changes, timeout_s=1.0)
+                self._desk.tell_owners(ledger, {part for (_, part), _ in batch})
+                written += len(changes)
+            except Unknown:
+                # It may still be executed. A new version of the leader's own record
+                # makes sure that it is not executed after the next read.
+                log.info("an allotment's outcome is unknown: fencing it off")
+                await self._refence(leader)
+                return
+            except RETRY as error:
+                log.info("allotting %d shares failed: %s", len(changes), error)
+                todo = []
+            if self._desk.state.writes.available() < 1.0:
+                todo = []
+            # What is left says how scarce changes are, whatever the next round decides.
+            leader.backlog = len(allotments) - written > limit
+            try:
+                await self._desk.syncer.fresh()
+            except Unavailable:
+                return
+
+    async def archive(self) -> None:
+        """Keeps the book as small as wanted, and looks up what it lacks."""
+        shared = self._desk.settings.settings
+        limit = int(JOBS_PER_MB * shared.quota.memory_mb)
+        ops = self._desk.settings.state_limits.txn_ops
+        while True:
+            await trio.sleep(self._desk.report_s)
+            leader = self._desk.leading()
+            if leader is None:
+                continue
+            try:
+                await self._look_up(leader)
+                for job in archive.to_move_out(self._desk.book, limit):
+                    # In a book that has moved on, another may need it by now.
+                    if job.spec.uid not in self._desk.book.dependents:
+                        guards, changes = archive.move_out(job, shared.nodes)
+                        await self._clear(leader, guards, changes)
+                while changes := archive.to_clear(self._desk.book, ops):
+                    await self._clear(leader, {}, changes)
+            except RETRY as error:
+                log.debug("archiving failed: %s", error)
+
+    async def _clear(
+        self, leader: Leader, guards: dict[str, int], changes: list[Put | Delete]
+    ) -> None:
+        guards[LEADER_KEY] = leader.token
+        self._desk.wrote(await self._desk.state.commit(guards, changes, timeout_s=1.0))
+        await self._desk.syncer.fresh()
+
+    async def _look_up(self, leader: Leader) -> None:
+        """A job may be recorded, late, after one that it needs has left the book: the
+        outcome of that one comes back, for those that read the book alone."""
+        for uid in sorted(self._desk.book.lost):
+            found = await self._desk.state.get(final_key(uid), timeout_s=1.0)
+            if found is not None:
+                change = Put(outcome_key(uid), {"st": found[0]["st"]})
+                await self._clear(leader, {outcome_key(uid): 0}, [change])
+
+    async def _refence(self, leader: Leader) -> None:
+        while self._desk.leader is leader:
+            try:
+                await self._desk.term.renew_leader(leader.token)
+                await self._desk.syncer.fresh()
+                return
+            except RETRY:
+                await trio.sleep(self._desk.report_s / 5)
+                self._desk.syncer.poke()
--- /dev/null
+++ b/ryegauge/coordination/mesh.py
@@ -0,0 +1,193 @@
+"""The controllers among themselves: what they tell and ask each other, vows during outages
+of the state service, and requests to it by way of a peer. Hints and views only, but for
+the vows (`terms`)."""
+
+import logging
+
+import trio
+
+from ryegauge.bookkeeping.state import Unknown
+from ryegauge.coordination.desk import Desk
+from ryegauge.coordination.frontdoor import FrontDoor
+from ryegauge.protocol.peers import (
+    Hello,
+    HelloAnswer,
+    Message,
+    PartView,
+    Poke,
+    Relay,
+    RelayAnswer,
+    Vow,
+    VowAnswer,
+    parse_message,
+    to_wire,
+)
+from ryegauge.transport.http import Caller, Malformed, Reply, Unreachable, decode
+
+log = logging.getLogger(__name__)
+
+
+class Mesh:
+    def __init__(self, desk: Desk, front: FrontDoor) -> None:
+        self._desk = desk
+        self._front = front
+        self.peers = {
+            peer.node_name: desk.network.client(
+                peer.peer_addr, max_connections=4, idle_s=desk.idle_s
+            )
+            for peer in desk.settings.known
+        }
+        desk.state.use_relay(self._relay, patience_s=desk.settings.term_s / 5)
+
+    async def tell_peers(self) -> None:
+        async with trio.open_nursery() as nursery:
+            for name, client in self.peers.items():
+                nursery.start_soon(self._tell_peer, name, client)
+
+    async def _tell_peer(self, name: str, client: Caller) -> None:
+        """One that does not answer must not keep the others waiting."""
+        told = 0
+        while True:
+            while told == self._desk.to_tell.get(name, 0):
+                await self._desk.tell.wait()
+            told = self._desk.to_tell[name]
+            await self._send(client, to_wire(Poke(told)))
+
+    async def _send(
+        self, client: Caller, message: list[object], timeout_s: float = 0.0
+    ) -> object:
+        try:
+            status, answer, _ = await client.request(
+                "POST", "/peer", message, timeout_s=timeout_s or self._desk.report_s / 2
+            )
+        except Unreachable:
+            return None
+        return answer if status == 200 else None
+
+    async def ask(self, client: Caller, message: Message, timeout_s: float = 0.0) -> object:
+        answer = await self._send(client, to_wire(message), timeout_s)
+        if answer is None:
+            return None
+        try:
+            return parse_message(answer)
+        except Malformed as error:
+            log.warning("a peer's answer cannot be read: %s", error)
+            return None
+
+    # -- outages ---------------------------------------------------------------------------
+
+    async def greet(self) -> None:
+        """Lets the peers know that this process remembers no vow."""
+        hello = Hello(self._desk.settings.node_name, self._desk.term.incarnation)
+        while self._desk.term.unwelcomed:
+            for name in list(self._desk.term.unwelcomed):
+                answer = await self.ask(self.peers[name], hello)
+                if isinstance(answer, HelloAnswer):
+                    self._desk.term.welcomed_by(name)
+            await trio.sleep(self._desk.report_s / 5)
+        await trio.sleep_forever()
+
+    async def ask_vows(self) -> None:
+        while True:
+            await trio.sleep(self._desk.settings.term_s / 12)
+            asked_at = trio.current_time()
+            if not self.peers or not self._desk.term.needs_vows(asked_at):
+                continue
+            voters: dict[str, str] = {}
+
+            async def ask(
+                name: str, client: Caller, voters: dict[str, str] = voters
+            ) -> None:
+                answer = await self.ask(client, self._vow())
+                if isinstance(answer, VowAnswer):
+                    self._cancelled_elsewhere(answer.cancelled)
+                    if answer.given:
+                        voters[name] = answer.incarnation
+
+            async with trio.open_nursery() as nursery:
+                for name, client in self.peers.items():
+                    nursery.start_soon(ask, name, client)
+            self._desk.term.vowed(asked_at, voters, trio.current_time())
+
+    def _recent_cancellations(self) -> list[str]:
+        since = trio.current_time() - 2 * self._desk.settings.settings.workers.cancel_s
+        return [uid for at, uid in self._front.cancellations if at > since]
+
+    def _vow(self) -> Vow:
+        return Vow(
+            self._desk.settings.node_name, self._desk.term.incarnation, self._recent_cancellations()
+        )
+
+    def _cancelled_elsewhere(self, uids: list[str]) -> None:
+        for owner in self._desk.owned.values():
+            for uid in uids:
+                owner.cancelled(uid)
+
+    async def probe_state(self) -> None:
+        """While peers carry our requests, tries whether the service serves us again."""
+        while True:
+            await trio.sleep(self._desk.settings.term_s / 5)
+            if self._desk.state.failing_since is not None:
+                try:
+                    await self._desk.state.direct("POST", "/multi", {"if": [], "apply": []}, 1.0)
+                except Unknown as error:
+                    log.debug("the state service: %s", error)
+
+    async def _relay(
+        self, method: str, target: str, body: object, timeout_s: float
+    ) -> tuple[int, object] | None:
+        for client in self.peers.values():
+            answer = await self.ask(client, Relay(method, target, body), timeout_s)
+            if isinstance(answer, RelayAnswer):
+                if answer.status:
+                    return answer.status, answer.body
+                # No answer reached the peer: it may have been executed.
+                raise Unknown("no answer by way of a peer")
+        return None
+
+    async def _carry(self, message: Relay) -> Reply:
+        """Sends a peer's request to the state service, if that serves us."""
+        if self._desk.state.failing_since is not None or not self._desk.state.requests.try_take():
+            return Reply(503, ["cannot"])
+        try:
+            status, answer = await self._desk.state.direct(
+                message.method, message.target, message.body, 1.0
+            )
+        except Unknown:
+            return Reply(200, to_wire(RelayAnswer(0, None)))
+        if status == 503:
+            return Reply(503, ["cannot"])
+        return Reply(200, to_wire(RelayAnswer(status, answer)))
+
+    async def handle(self, method: str, target: str, body: bytes) -> Reply:
+        if (method, target) != ("POST", "/peer"):
+            return Reply(404, {"error": "no such path"})
+        message = parse_message(decode(body))
+        match message:
+            case Poke(ledger=ledger):
+                if ledger > self._desk.book.ledger:
+                    self._desk.syncer.poke()
+                return Reply(200, ["ok"])
+            case PartView(ledger=ledger):
+                if ledger > self._desk.book.ledger:
+                    self._desk.syncer.poke()
+                leader = self._desk.leader
+                if leader is None:
+                    return Reply(503, ["not leading"])
+                orders = leader.on_view(message, trio.current_time())
+                if message.machines or message.gone:
+                    self._desk.wake()
+                return Reply(200, to_wire(orders))
+            case Vow(node=node, incarnation=incarnation, cancelled=cancelled):
+                given = self._desk.term.give_vow(node, incarnation, trio.current_time())
+                self._cancelled_elsewhere(cancelled)
+                answer = VowAnswer(
+                    given, self._desk.term.incarnation, self._recent_cancellations()
+                )
+                return Reply(200, to_wire(answer))
+            case Hello(node=node, incarnation=incarnation):
+                self._desk.term.welcome(node, incarnation)
+                return Reply(200, to_wire(HelloAnswer(self._desk.settings.node_name)))
+            case Relay():
+                return await self._carry(message)
+        return Reply(400, ["unexpected"])
--- /dev/null
+++ b/ryegauge/coordination/outcomes.py
@@ -0,0 +1,101 @@
+"""Brings the shares in the book to what the owners of parts have seen."""
+
+import logging
+
+import trio
+
+from ryegauge.bookkeeping.budget import IDLE
+from ryegauge.bookkeeping.jobbook import page_key, share_key, value_bytes
+from ryegauge.bookkeeping.state import Delete, Put, Unavailable
+from ryegauge.coordination.desk import RETRY, Desk
+from ryegauge.coordination.part import PartOwner
+from ryegauge.coordination.shares import Pending
+from ryegauge.coordination.terms import part_key
+
+log = logging.getLogger(__name__)
+
+# Outcomes that nobody waits for are written after so many reports at the earliest: changes
+# are scarce, each such write takes one from an allotment, and the later it comes the more
+# tasks it holds. The room of tasks that have ended is known from the part's views.
+IDLE_REPORTS = 2.0
+
+
+class Outcomes:
+    def __init__(self, desk: Desk) -> None:
+        self._desk = desk
+        self._wrote_at: dict[int, float] = {}  # when a part's outcomes were last written
+
+    async def write(self) -> None:
+        """Brings the shares in the book to what the owners have seen."""
+        while True:
+            await trio.sleep(0.1)
+            if not any(owner.leaving for owner in self._desk.owned.values()):
+                with trio.move_on_after(self._desk.report_s / 2):
+                    await self._desk.changed.wait()
+            for part, owner in list(self._desk.owned.items()):
+                await self._write_pending(part, owner)
+
+    async def _write_pending(self, part: int, owner: PartOwner) -> None:
+        """One transaction, of what others wait for, and as far as the budget is not
+        needed otherwise, of the rest: a job's tasks end one by one, and a write for
+        each is more than the service takes."""
+        pending = owner.pending()
+        if not pending:
+            return
+        writes = self._desk.state.writes
+        now = trio.current_time()
+        if (bulky := next((entry for entry in pending if entry.pages), None)) is not None:
+            await self._seal(part, owner, bulky)
+            return
+        limits = self._desk.settings.state_limits
+        urgent = sum(entry.waited_for for entry in pending)
+        if not urgent and now < self._wrote_at.get(part, 0.0) + IDLE_REPORTS * self._desk.report_s:
+            return
+        self._wrote_at[part] = now
+        count = max(min(urgent, max(1, int(writes.available()))), int(writes.available(IDLE)))
+        count = min(count, len(pending), limits.txn_ops)
+        if count <= 0:
+            return
+        guards = {part_key(part): owner.token}
+        changes: list[Put | Delete] = []
+        for _, _, uid, share, _ in pending:
+            record = share.to_record()
+            # One that was recorded when larger values were allowed waits until enough of
+            # its tasks have ended.
+            if value_bytes(record) <= limits.value_bytes:
+                guards[share_key(uid, part)] = share.version
+                changes.append(Put(share_key(uid, part), record))
+            if len(changes) == count:
+                break
+        if not changes:
+            return
+        try:
+            self._desk.tell_leader(await self._desk.state.commit(guards, changes, timeout_s=1.0))
+        except RETRY as error:
+            log.debug("recording outcomes of part %d failed: %s", part, error)
+        try:
+            await self._desk.syncer.fresh()
+        except Unavailable as error:
+            log.debug("reading after outcomes of part %d: %s", part, error)
+
+    async def _seal(self, part: int, owner: PartOwner, entry: Pending) -> None:
+        """Copies done tasks of a share that has grown too large to records of their own;
+        once they stand there, the next write of the share leaves them out."""
+        job = self._desk.book.jobs.get(entry.uid)
+        if job is None:
+            return
+        number = 1 + max((n for p, n in job.sealed if p == part), default=-1)
+        guards = {part_key(part): owner.token}
+        changes: list[Put | Delete] = []
+        for page in entry.pages[: self._desk.settings.state_limits.txn_ops]:
+            key = page_key(entry.uid, part, number + len(changes))
+            guards[key] = 0
+            changes.append(Put(key, {"d": page.flat()}))
+        try:
+            await self._desk.state.commit(guards, changes, timeout_s=1.0)
+        except RETRY as error:
+            log.debug("sealing %s of part %d failed: %s", entry.uid, part, error)
+        try:
+            await self._desk.syncer.fresh()
+        except Unavailable as error:
+            log.debug("reading after sealing: %s", error)
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -8,14 +8,15 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
-from typing import Literal, NamedTuple
 
-from ryegauge.bookkeeping.jobbook import Job, JobBook, Share, span_bytes
+from ryegauge.bookkeeping.jobbook import JobBook
 from ryegauge.bookkeeping.ranges import Ranges
 from ryegauge.config import CLOCK_DRIFT, Settings
+from ryegauge.coordination import shares
+from ryegauge.coordination.held import Machine, Phase, Task
 from ryegauge.coordination.needs import make_need, task_sizes
+from ryegauge.coordination.showing import Showing, Signature
 from ryegauge.protocol.cloud import MachineType
-from ryegauge.protocol.jobs import MAX_TASKS
 from ryegauge.protocol.peers import MachineView, PartView, RunSample
 from ryegauge.protocol.workers import (
     Command,
@@ -29,86 +30,12 @@
 )
 from ryegauge.scheduling.estimates import Estimates
 from ryegauge.scheduling.planner import Room, place, whole_room
-from ryegauge.transport.http import BODY_LIMIT
 
 log = logging.getLogger(__name__)
 
 # Machines given up whose late reports are still recognised.
 REMEMBERED = 10_000
 
-# unseen: allotted before this token; may run on a machine not heard from yet.
-# free: on no machine for certain. placed: its `run` is wanted, never reported.
-# seen: reported alive. leaving: over or handed back; waits to be written.
-Phase = Literal["unseen", "free", "placed", "seen", "leaving"]
-
-# What the leader is shown of a machine, to tell whether it has changed.
-Signature = tuple[bool, bool, bool, bool, float, int, frozenset[TaskKey], tuple[str, ...]]
-
-# From this share of its limit on a team's work waits for what it holds by the book.
-FULL_SHARE = 0.8
-
-# Views are cut into messages well below the limit of a body.
-VIEW_BYTES = BODY_LIMIT // 2
-
-
-class Task:
-    __slots__ = (
-        "attempt", "done", "errors", "key", "machine", "moving", "not_before", "phase",
-        "running_since", "sent", "withdrawn", "zone",
-    )
-
-    def __init__(self, key: TaskKey, zone: str, phase: Phase) -> None:
-        self.key = key
-        self.zone = zone
-        self.phase: Phase = phase
-        self.machine: str | None = None
-        self.attempt = 0
-        self.sent = False  # a `run` of this attempt was given
-        self.withdrawn = False  # must not run (any more): cancelled, or its machine goes
-        self.moving = False  # is being stopped here to run elsewhere
-        self.running_since: float | None = None
-        self.not_before = 0.0
-        self.done = False
-        self.errors: set[str] = set()  # machines on which it failed
-
-
-class Machine:
-    __slots__ = (
-        "address", "alive", "direct", "heard_at", "idle_since", "images", "name", "notice_at",
-        "retiring", "spot", "stamp", "strikes", "tasks", "trusted", "type", "zone",
-    )
-
-    def __init__(self, report: Report, now: float) -> None:
-        self.name = report.machine
-        self.type = report.type
-        self.zone = report.zone
-        self.spot = report.spot
-        self.address = report.addr
-        # Attempts sent straight to the worker, without an answer so far: they may
-        # still be started at any time in this session.
-        self.direct: set[tuple[TaskKey, int]] = set()
-        self.trusted = False  # has reported under this token
-        self.stamp = (0, 0)
-        self.heard_at = now
-        self.notice_at: float | None = None  # when the cloud takes it away
-        self.retiring = False
-        self.strikes = 0
-        self.idle_since = now
-        self.images: dict[str, float] = {}  # presumed cached, most recently used last
-        self.tasks: set[TaskKey] = set()  # tasks whose place this is
-        self.alive: dict[tuple[TaskKey, int], TaskReport] = {}  # as last reported
-
-
-class Pending(NamedTuple):
-    """What is to be written of a job's share."""
-
-    waited_for: bool  # somebody waits for it
-    opens: bool  # perhaps the last that jobs after this one wait for
-    uid: str
-    share: Share
-    # Done tasks of the book's share that have to stand in records of their own first.
-    pages: list[Ranges]
-
 
 def _of(key: TaskKey) -> tuple[str, list[TaskKey]]:
     return key[0], [key]
@@ -148,13 +75,7 @@
         # Counts reports that said something new. Most only renew a lease, and looking
         # at everything again for each would take most of the time.
         self.revision = 0
-        # The leader (its token) that views are shown to, what it has acknowledged,
-        # and the view under way: (number, machines in it, machines no longer there).
-        self._shown_to = 0
-        self._seq = 0
-        self._acknowledged = 0
-        self._shown: dict[str, Signature] = {}
-        self._showing: tuple[int, dict[str, Signature], list[str]] | None = None
+        self._showing = Showing()
         self._failures: dict[str, set[str]] = {}  # job -> machines it failed on, until one succeeds
         for uid in list(book.live):
             self._reconcile(uid, "unseen")
@@ -182,7 +103,7 @@
                         (self._free if phase == "free" else self._unseen).add(key)
         for key in (known or set()) - wanted:
             self._drop(key)
-        if job is not None and share is not None and self._is_bulky(job, share):
+        if job is not None and share is not None and shares.is_bulky(job, share, self._settings):
             self._bulky.add(uid)
         else:
             self._bulky.discard(uid)
@@ -560,130 +481,54 @@
 
     # -- what is to be written and told -----------------------------------------------
 
-    def pending(self) -> list[Pending]:
-        """The shares as they should be, where they differ from the book: first those
-        that give tasks back or are all over, since their users, the leader or the jobs
-        after them wait; then those that shrank."""
-        leaving: dict[str, list[Task]] = {uid: [] for uid in self._bulky}
-        for key in self.leaving:
-            leaving.setdefault(key[0], []).append(self.tasks[key])
-        full = self._full_teams()
-        result: list[Pending] = []
-        for uid, tasks in leaving.items():
-            job: Job | None = self._book.jobs.get(uid)
-            if job is None or (share := job.shares.get(self.part)) is None:
-                continue
-            out = Ranges.of(t.key[1] for t in tasks)
-            done = Ranges.of(t.key[1] for t in tasks if t.done)
-            allotted = {zone: r - out for zone, r in share.allotted.items()}
-            all_done, pages = share.done | done, []
-            if uid in self._bulky:
-                pages = self._pages(share.done - job.sealed_tasks)
-                all_done = all_done - job.sealed_tasks
-            after = Share(allotted, all_done, share.version)
-            waited_for = (
-                not after.count or len(done) < len(out) or job.spec.team in full
-            )
-            opens = uid in self._book.dependents and not after.count
-            result.append(Pending(waited_for, opens, uid, after, pages))
-        result.sort(key=lambda entry: (not entry.waited_for, not entry.opens))
-        return result
-
-    def _full_teams(self) -> set[str]:
-        """Teams close to their limit: what they hold by the book keeps their jobs waiting."""
-        used: dict[str, float] = {}
-        for job in self._book.live.values():
-            cpus = job.allotted_count * job.spec.cpus
-            used[job.spec.team] = used.get(job.spec.team, 0.0) + cpus
-        return {
-            team.name for team in self._settings.settings.teams
-            if used.get(team.name, 0.0) > FULL_SHARE * team.cpus_max
-        }
-
-    def _is_bulky(self, job: Job, share: Share) -> bool:
-        """Whether the done tasks of a share take so much of its record that the leader
-        can hardly add to it: they are moved to records of their own."""
-        size = len(share.done.spans) * span_bytes(job.spec.tasks)
-        return 2 * size > self._settings.state_limits.value_bytes
-
-    def _pages(self, tasks: Ranges) -> list[Ranges]:
-        """Done tasks cut into values within the limit."""
-        if not tasks:
-            return []
-        each = self._settings.state_limits.value_bytes // (2 * span_bytes(MAX_TASKS))
-        return [
-            Ranges(tasks.spans[first : first + each])
-            for first in range(0, len(tasks.spans), each)
-        ]
+    def pending(self) -> list[shares.Pending]:
+        over = [self.tasks[key] for key in self.leaving]
+        return shares.pending(self._book, self._settings, self.part, over, self._bulky)
 
     def view(self, node: str, leader: int, now: float) -> PartView:
-        """What has changed since the last view that the leader (by its token) has
-        acknowledged, at most as much as a message holds; the rest follows."""
-        if leader != self._shown_to:
-            self._shown_to, self._shown, self._acknowledged = leader, {}, 0
-        self._seq += 1
-        machines: list[MachineView] = []
-        shown: dict[str, Signature] = {}
-        size = 0
-        for m in self.machines.values():
-            occupants = self._occupants(m)
-            signature = self._signature(m, occupants, now)
-            if signature == self._shown.get(m.name):
-                continue
-            by_job: dict[str, list[TaskKey]] = {}
-            for key in occupants:
-                by_job.setdefault(key[0], []).append(key)
-            size += len(m.name) + sum(map(len, m.images)) + 64 + 48 * len(by_job)
-            if machines and size > VIEW_BYTES:
-                break
-            shown[m.name] = signature
-            tasks = [
-                (uid, Ranges.of(k[1] for k in keys).flat(), self._left_s(uid, keys, now))
-                for uid, keys in by_job.items()
-            ]
-            machines.append(
-                MachineView(
-                    name=m.name,
-                    type=m.type,
-                    zone=m.zone,
-                    spot=m.spot,
-                    open=self._takes_tasks(m, now),
-                    empty=m.trusted and not tasks,
-                    silent_s=now - m.heard_at,
-                    notice=m.notice_at is not None,
-                    retiring=m.retiring or m.strikes >= 2,
-                    images=list(m.images),
-                    tasks=tasks,
-                )
-            )
-        gone = [name for name in self._shown if name not in self.machines]
+        """What the leader (by its token) has not been shown yet."""
+        machines, gone = self._showing.next(
+            leader, self.machines,
+            lambda m: self._signature(m, now), lambda m: self._describe(m, now),
+        )
         leaving: dict[str, int] = {}
         for key in self.leaving:
             leaving[key[0]] = leaving.get(key[0], 0) + 1
-        self._showing = (self._seq, shown, gone)
         samples = [RunSample(name, n, total) for name, (n, total) in self._samples.items()]
         self._samples.clear()
         for sample in samples:
             self.estimates.add(sample.job_class, sample.count, sample.log_ratio_sum)
         return PartView(
             node, self.part, self.token, self._book.ledger, machines, samples,
-            self._seq, self._acknowledged, gone, list(leaving.items()),
+            self._showing.seq, self._showing.acknowledged, gone, list(leaving.items()),
         )
 
     def shown(self, seq: int, resync: bool) -> None:
-        """The leader has answered a view."""
-        if self._showing is None or self._showing[0] != seq:
-            return
-        if resync:
-            self._shown, self._acknowledged = {}, 0
-            return
-        _, shown, gone = self._showing
-        self._shown.update(shown)
-        for name in gone:
-            self._shown.pop(name, None)
-        self._acknowledged = seq
+        self._showing.answered(seq, resync)
+
+    def _describe(self, m: Machine, now: float) -> MachineView:
+        by_job: dict[str, list[TaskKey]] = {}
+        for key in self._occupants(m):
+            by_job.setdefault(key[0], []).append(key)
+        tasks = [
+            (uid, Ranges.of(k[1] for k in keys).flat(), self._left_s(uid, keys, now))
+            for uid, keys in by_job.items()
+        ]
+        return MachineView(
+            name=m.name,
+            type=m.type,
+            zone=m.zone,
+            spot=m.spot,
+            open=self._takes_tasks(m, now),
+            empty=m.trusted and not tasks,
+            silent_s=now - m.heard_at,
+            notice=m.notice_at is not None,
+            retiring=m.retiring or m.strikes >= 2,
+            images=list(m.images),
+            tasks=tasks,
+        )
 
-    def _signature(self, m: Machine, occupants: set[TaskKey], now: float) -> "Signature":
+    def _signature(self, m: Machine, now: float) -> Signature:
         """Whatever of a machine the leader should hear of when it changes. How long it
         has been silent counts only once that is more than a late report."""
         silent = now - m.heard_at
@@ -692,7 +537,7 @@
             m.trusted, self._takes_tasks(m, now), m.notice_at is not None,
             m.retiring or m.strikes >= 2,
             silent if silent > 2 * self._settings.report_gap_s else 0.0,
-            running, frozenset(occupants), tuple(m.images),
+            running, frozenset(self._occupants(m)), tuple(m.images),
         )
 
     def _left_s(self, uid: str, keys: list[TaskKey], now: float) -> float:
--- /dev/null
+++ b/ryegauge/coordination/rooms.py
@@ -0,0 +1,126 @@
+"""Room on machines, as the leader knows it, and what takes some of it. Pure functions."""
+
+import math
+
+from ryegauge.bookkeeping.jobbook import Job, JobBook
+from ryegauge.coordination.fleet import Fleet
+from ryegauge.coordination.needs import make_need, task_sizes
+from ryegauge.coordination.urgency import Urgencies
+from ryegauge.coordination.views import PartState, Shown
+from ryegauge.scheduling.estimates import Estimates
+from ryegauge.scheduling.planner import Need, Room, place, standby_rule, whole_room
+
+
+def running_rooms(
+    book: JobBook, fleet: Fleet, views: dict[int, PartState], now: float
+) -> list[Room]:
+    """Free room on machines that take tasks, by what their owners have shown."""
+    rooms: list[Room] = []
+    for part, state in views.items():
+        for name, shown in state.machines.items():
+            m = shown.view
+            type_ = fleet.types.get(m.type)
+            if type_ is None or not m.open or name in fleet.retire or name in fleet.gone:
+                continue
+            if not shown.known:
+                # The book may have been behind the view.
+                shown = state.machines[name] = Shown(m, shown.at, book)
+                if not shown.known:
+                    continue  # something unknown runs here: leave it alone
+            room = Room(
+                name, type_, m.zone, m.spot, part, type_.cpus - shown.cpus,
+                type_.memory_gb - shown.memory_gb, type_.gpus - shown.gpus,
+            )
+            room.images = set(m.images)
+            room.used = bool(m.tasks)
+            room.busy = [
+                (max(0.0, until - now), n, c, g, k) for until, n, c, g, k in shown.busy
+            ]
+            rooms.append(room)
+    return rooms + _out_of_sight(book, fleet, views)
+
+
+def _out_of_sight(
+    book: JobBook, fleet: Fleet, views: dict[int, PartState]
+) -> list[Room]:
+    """Machines of parts whose owner lives but cannot be heard (controllers refuse
+    each other's connections): whole, as far as the list says; what their parts
+    hold by the book is counted as on its way. An owner without room hands back."""
+    rooms: list[Room] = []
+    for r in fleet.machines.values():
+        if r.part in views or r.running_since is None or r.failed or r.noticed:
+            continue
+        owner = book.parts.get(r.part)
+        type_ = fleet.types.get(r.type)
+        if type_ is None or owner is None or owner.node not in book.nodes:
+            continue
+        if r.name in fleet.retire:
+            continue
+        room = whole_room(type_, r.name, r.zone, r.spot, r.part)
+        room.used = True
+        rooms.append(room)
+    return rooms
+
+
+def take_in_transit(
+    book: JobBook, estimates: Estimates, running: list[Room], views: dict[int, PartState]
+) -> None:
+    """What is allotted to a part and on none of its machines yet takes room there;
+    what has ended and is not written yet does not."""
+    placed: dict[tuple[str, int], int] = {}
+    for part, state in views.items():
+        for shown in state.machines.values():
+            for job, count, _ in shown.tasks:
+                key = (job.spec.uid, part)
+                placed[key] = placed.get(key, 0) + count
+    by_part: dict[int, list[Room]] = {}
+    for room in running:
+        by_part.setdefault(room.part, []).append(room)
+    sizes = task_sizes(book)
+    for uid, job in book.live.items():
+        if job.cancelled:
+            continue
+        for part, held in job.held.items():
+            if part not in by_part:
+                continue
+            count = held - placed.get((uid, part), 0)
+            if part in views:
+                count -= views[part].leaving.get(uid, 0)
+            if count > 0:
+                need = make_need(job, count, None, estimates, math.inf, sizes)
+                place(need, by_part[part], steady_only=False)
+
+
+def critical_tasks(
+    fleet: Fleet, views: dict[int, PartState], urgencies: Urgencies, estimates: Estimates,
+    now: float, wall: float,
+) -> dict[str, list[Need]]:
+    """The tasks that get a standby, of the spot machine that holds the most of them
+    (what that one needs is held, see `hold_standbys`)."""
+    boot_s = min((t.boot_s for t in fleet.types.values()), default=0.0)
+    fullest: tuple[float, str, list[tuple[Job, int]]] | None = None
+    for state in views.values():
+        for name, shown in state.machines.items():
+            if not shown.view.spot:
+                continue
+            tasks: list[tuple[Job, int]] = []
+            cpus = 0.0
+            for job, count, until in shown.tasks:
+                finish = urgencies.latest_finish(job)
+                if finish < wall or job.over or job.spec.kind == "standing":
+                    continue
+                if standby_rule(max(0.0, until - now), boot_s, finish, wall):
+                    tasks.append((job, count))
+                    cpus += job.spec.cpus * count
+            if tasks and (fullest is None or (-cpus, name) < fullest[:2]):
+                fullest = (-cpus, name, tasks)
+    if fullest is None:
+        return {}
+    return {
+        fullest[1]: [
+            make_need(
+                job, count, None, estimates, urgencies.latest_finish(job)
+            )
+            for job, count in fullest[2]
+        ]
+    }
--- /dev/null
+++ b/ryegauge/coordination/shares.py
@@ -0,0 +1,87 @@
+"""What is to be written of a part's shares. Pure functions of the book and of the tasks
+that are over or handed back."""
+
+from collections.abc import Collection, Iterable
+from typing import NamedTuple
+
+from ryegauge.bookkeeping.jobbook import Job, JobBook, Share, span_bytes
+from ryegauge.bookkeeping.ranges import Ranges
+from ryegauge.config import Settings
+from ryegauge.coordination.held import Task
+from ryegauge.protocol.jobs import MAX_TASKS
+
+# From this share of its limit on a team's work waits for what it holds by the book.
+FULL_SHARE = 0.8
+
+
+class Pending(NamedTuple):
+    """What is to be written of a job's share."""
+
+    waited_for: bool  # somebody waits for it
+    opens: bool  # perhaps the last that jobs after this one wait for
+    uid: str
+    share: Share
+    # Done tasks of the book's share that have to stand in records of their own first.
+    pages: list[Ranges]
+
+
+def pending(
+    book: JobBook, settings: Settings, part: int, over: Iterable[Task], bulky: Collection[str]
+) -> list[Pending]:
+    """The shares as they should be, where they differ from the book: first those
+    that give tasks back or are all over, since their users, the leader or the jobs
+    after them wait; then those that shrank."""
+    leaving: dict[str, list[Task]] = {uid: [] for uid in bulky}
+    for task in over:
+        leaving.setdefault(task.key[0], []).append(task)
+    full = _full_teams(book, settings)
+    result: list[Pending] = []
+    for uid, tasks in leaving.items():
+        job: Job | None = book.jobs.get(uid)
+        if job is None or (share := job.shares.get(part)) is None:
+            continue
+        out = Ranges.of(t.key[1] for t in tasks)
+        done = Ranges.of(t.key[1] for t in tasks if t.done)
+        allotted = {zone: r - out for zone, r in share.allotted.items()}
+        all_done, pages = share.done | done, []
+        if uid in bulky:
+            pages = _pages(share.done - job.sealed_tasks, settings)
+            all_done = all_done - job.sealed_tasks
+        after = Share(allotted, all_done, share.version)
+        waited_for = (
+            not after.count or len(done) < len(out) or job.spec.team in full
+        )
+        opens = uid in book.dependents and not after.count
+        result.append(Pending(waited_for, opens, uid, after, pages))
+    result.sort(key=lambda entry: (not entry.waited_for, not entry.opens))
+    return result
+
+
+def _full_teams(book: JobBook, settings: Settings) -> set[str]:
+    """Teams close to their limit: what they hold by the book keeps their jobs waiting."""
+    used: dict[str, float] = {}
+    for job in book.live.values():
+        cpus = job.allotted_count * job.spec.cpus
+        used[job.spec.team] = used.get(job.spec.team, 0.0) + cpus
+    return {
+        team.name for team in settings.settings.teams
+        if used.get(team.name, 0.0) > FULL_SHARE * team.cpus_max
+    }
+
+
+def is_bulky(job: Job, share: Share, settings: Settings) -> bool:
+    """Whether the done tasks of a share take so much of its record that the leader
+    can hardly add to it: they are moved to records of their own."""
+    size = len(share.done.spans) * span_bytes(job.spec.tasks)
+    return 2 * size > settings.state_limits.value_bytes
+
+
+def _pages(tasks: Ranges, settings: Settings) -> list[Ranges]:
+    """Done tasks cut into values within the limit."""
+    if not tasks:
+        return []
+    each = settings.state_limits.value_bytes // (2 * span_bytes(MAX_TASKS))
+    return [
+        Ranges(tasks.spans[first : first + each])
+        for first in range(0, len(tasks.spans), each)
+    ]
--- /dev/null
+++ b/ryegauge/coordination/views.py
@@ -0,0 +1,116 @@
+"""What the owners of parts show the leader of their machines, and how old that is.
+
+No I/O and no clock.
+"""
+
+import math
+
+from ryegauge.bookkeeping.jobbook import Job, JobBook
+from ryegauge.bookkeeping.ranges import Ranges
+from ryegauge.config import Settings
+from ryegauge.protocol.peers import MachineView, PartView
+
+
+class Shown:
+    """A machine as its part's owner described it, with what follows from that."""
+
+    __slots__ = ("at", "busy", "cpus", "gpus", "known", "memory_gb", "tasks", "view")
+
+    def __init__(self, view: MachineView, at: float, book: JobBook) -> None:
+        self.view = view
+        self.at = at
+        self.cpus = self.memory_gb = self.gpus = 0.0  # taken by its tasks
+        self.known = True  # whether the book has all of its jobs
+        self.tasks: list[tuple[Job, int, float]] = []  # (job, tasks, when the longest ends)
+        self.busy: list[tuple[float, int, float, float, float]] = []
+        for uid, flat, left_s in view.tasks:
+            job = book.jobs.get(uid)
+            if job is None:
+                self.known = False
+                continue
+            n = len(Ranges.from_flat(flat))
+            spec = job.spec
+            self.tasks.append((job, n, at + left_s))
+            self.busy.append((at + left_s, n, spec.cpus, spec.memory_gb, spec.gpus))
+            self.cpus += n * spec.cpus
+            self.memory_gb += n * spec.memory_gb
+            self.gpus += n * spec.gpus
+
+
+class PartState:
+    """What the leader knows of a part: whole views, and changes to them since."""
+
+    __slots__ = ("at", "leaving", "machines", "node", "seq", "token")
+
+    def __init__(self, node: str, token: int) -> None:
+        self.node = node
+        self.token = token
+        self.seq = 0
+        self.at = -math.inf
+        self.machines: dict[str, Shown] = {}
+        self.leaving: dict[str, int] = {}  # job -> tasks that are nowhere, not yet written
+
+
+class Views:
+    """Of all parts, by the latest views of their owners."""
+
+    def __init__(self, book: JobBook, settings: Settings) -> None:
+        self._book = book
+        self._settings = settings
+        self._parts: dict[int, PartState] = {}
+        self._epoch = book.epoch
+
+    def take_in(self, view: PartView, now: float) -> PartState | None:
+        """None: changes to something that we don't have, since an answer of ours was
+        lost, or we have just begun to lead. The owner has to send everything."""
+        state = self._parts.get(view.part)
+        if view.base == 0:
+            state = self._parts[view.part] = PartState(view.node, view.token)
+        elif state is None or (state.token, state.seq) != (view.token, view.base):
+            return None
+        state.seq, state.at, state.leaving = view.seq, now, dict(view.leaving)
+        for name in view.gone:
+            state.machines.pop(name, None)
+        for machine in view.machines:
+            state.machines[machine.name] = Shown(machine, now, self._book)
+        return state
+
+    def renew(self) -> None:
+        """After a full read of the book its jobs are other objects."""
+        if self._epoch != self._book.epoch:
+            self._epoch = self._book.epoch
+            for state in self._parts.values():
+                for name, shown in state.machines.items():
+                    state.machines[name] = Shown(shown.view, shown.at, self._book)
+
+    def fresh(self, now: float) -> dict[int, PartState]:
+        views: dict[int, PartState] = {}
+        for part, state in self._parts.items():
+            owner = self._book.parts.get(part)
+            if (
+                owner is not None
+                and owner.token == state.token
+                and now - state.at < self._settings.report_gap_s
+            ):
+                views[part] = state
+        return views
+
+    def heard(self, part: int, name: str, now: float) -> bool:
+        """Whether the part's owner has heard from a machine within its lease."""
+        state = self._parts.get(part)
+        if state is None or now - state.at > self._settings.report_gap_s:
+            return False
+        shown = state.machines.get(name)
+        lease_s = self._settings.settings.workers.lease_s
+        return shown is not None and shown.view.silent_s < lease_s
+
+    def silent_parts(self) -> set[int]:
+        result: set[int] = set()
+        for part, state in self._parts.items():
+            silent = sum(
+                shown.view.silent_s > 2 * self._settings.report_gap_s and not shown.view.notice
+                for shown in state.machines.values()
+            )
+            if silent > max(1, len(state.machines) // 4):
+                result.add(part)
+        return result
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -35,7 +35,7 @@
         for part in range(3):
             self.put(f"r/p/{part}", {"o": "node-0", "i": "x"})
         self.leader = Leader(9, self.book, settings, NOW)
-        self.leader.types = {"small": SMALL}
+        self.leader.fleet.types = {"small": SMALL}
         self.leader.on_list([], NOW)
         self.machines: dict[str, MachineView] = {}
         self.now = NOW
@@ -164,7 +164,7 @@
     lead.machine("m-1", retiring=True)
     lead.round()
     assert lead.last.releases == ["m-1"]
-    lead.leader.released(["m-1"], lead.now)
+    lead.leader.fleet.released(["m-1"], lead.now)
     part = lead.part_of("m-1")
     view = PartView("node-0", part, lead.book.parts[part].token, lead.revision, [], seq=2, base=1)
     assert lead.leader.on_view(view, lead.now).gone == ["m-1"]
@@ -189,10 +189,10 @@
     lead.job("wk-000001")
     lead.round()
     (rental,) = lead.last.rentals
-    lead.leader.renting(rental, lead.now)
+    lead.leader.fleet.renting(rental, lead.now)
     lead.round()
     assert lead.last.rentals == []
-    lead.leader.rented(rental, ["m-1", "m-2"], lead.now)
+    lead.leader.fleet.rented(rental, ["m-1", "m-2"], lead.now)
     lead.round()
     assert lead.last.rentals == []
 
@@ -301,7 +301,7 @@
     settings = msgspec.structs.replace(lead.settings, settings=shared)
     lead.leader = Leader(9, lead.book, settings, NOW)
     huge = MachineType("huge", 1e5, 1e6, 0.4, 10.0, ["a"], spot_price=0.1)
-    lead.leader.types = {"huge": huge}
+    lead.leader.fleet.types = {"huge": huge}
     lead.machine("m-1", type="huge")
     lead.job("wk-000001", pieces=100_000, cpus=1.0, memoryGb=0.1)
     lead.round()
