--- /dev/null
+++ b/ryegauge/amqp/client.py
@@ -0,0 +1,235 @@
+"""Connections to a list of brokers on trio: TLS, heartbeats, another try after each end.
+
+A `Session` is one connection, from its opening to its end; what is under way ends with it.
+`keep_connected` runs one session after another.
+"""
+
+import logging
+import os
+import random
+import ssl
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Annotated
+from urllib.parse import unquote, urlsplit
+
+import msgspec
+import trio
+
+from ryegauge.amqp.connection import Closed, Connection, Event, Opened
+
+log = logging.getLogger(__name__)
+
+CHUNK = 64 * 1024
+# Another broker is tried after a pause between the first and the last of these, doubled
+# with each failure, with luck in it: brokers that come back are not stormed.
+FIRST_PAUSE_S = 0.5
+LAST_PAUSE_S = 30.0
+
+Connect = Callable[["Broker"], Awaitable[trio.abc.Stream]]
+
+
+class BrokerError(Exception):
+    """A broker that cannot be used as it is configured; names the key."""
+
+
+class Broker(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """Where and as whom. Passwords stand in a file or in the environment, and never in a log."""
+
+    url: str  # amqp://host:port/vhost or amqps://...
+    user: str = "guest"
+    password_file: str | None = None
+    password_env: str | None = None
+    ca_file: str | None = None  # who may certify the broker; default: the system's list
+    cert_file: str | None = None  # our certificate and its key, if the broker wants one
+    key_file: str | None = None
+    heartbeat_s: Annotated[int, msgspec.Meta(ge=0, le=600)] = 10
+    timeout_s: Annotated[float, msgspec.Meta(gt=0)] = 10.0
+
+    def address(self) -> tuple[str, int, bool, str]:
+        """Host, port, whether by TLS, virtual host; raises BrokerError."""
+        parts = urlsplit(self.url)
+        if parts.scheme not in ("amqp", "amqps") or not parts.hostname:
+            raise BrokerError(f"url: expected amqp://HOST:PORT/VHOST, got {self.url!r}")
+        if parts.username or parts.password:
+            raise BrokerError("url: user and password have keys of their own")
+        try:
+            port = parts.port
+        except ValueError as error:
+            raise BrokerError(f"url: {error}") from None
+        tls = parts.scheme == "amqps"
+        return parts.hostname, port or (5671 if tls else 5672), tls, unquote(parts.path[1:]) or "/"
+
+    def password(self) -> str:
+        """Read anew for every connection: it may have been changed."""
+        if self.password_file is not None:
+            try:
+                return Path(self.password_file).read_text(encoding="utf-8").rstrip("\r\n")
+            except OSError as error:
+                raise BrokerError(
+                    f"password_file: {self.password_file}: {error.strerror}"
+                ) from None
+        if self.password_env is not None:
+            if self.password_env not in os.environ:
+                raise BrokerError(f"password_env: {self.password_env} is not set")
+            return os.environ[self.password_env]
+        return "guest"
+
+    def context(self) -> ssl.SSLContext:
+        """Keys and certificates as they are in their files now."""
+        try:
+            context = ssl.create_default_context(cafile=self.ca_file)
+            if self.cert_file is not None:
+                context.load_cert_chain(self.cert_file, self.key_file)
+        except OSError as error:
+            raise BrokerError(f"ca_file, cert_file or key_file: {error}") from None
+        return context
+
+
+async def connect_tcp(broker: Broker) -> trio.abc.Stream:
+    host, port, tls, _ = broker.address()
+    stream: trio.abc.Stream = await trio.open_tcp_stream(host, port)
+    if tls:
+        secure = trio.SSLStream(stream, broker.context(), server_hostname=host)
+        try:
+            await secure.do_handshake()
+        except BaseException:
+            await trio.aclose_forcefully(stream)
+            raise
+        stream = secure
+    return stream
+
+
+class Session:
+    """One open connection. Ask `protocol` for things and call `flush`."""
+
+    def __init__(self, stream: trio.abc.Stream, protocol: Connection) -> None:
+        self.protocol = protocol
+        self.opened = False  # the login has succeeded
+        self._stream = stream
+        self._wanted = trio.Event()
+
+    def flush(self) -> None:
+        """Sends, soon and in order, what the protocol has been asked for."""
+        self._wanted.set()
+
+    async def run(self, told: Callable[[Event], None]) -> Closed:
+        """Until the connection ends, for whichever reason. All events go to `told`, one
+        after the other, in the order in which they came."""
+        closed: list[Closed] = []
+
+        def deliver(events: list[Event]) -> None:
+            for event in events:
+                if isinstance(event, Closed):
+                    closed.append(event)
+                self.opened = self.opened or isinstance(event, Opened)
+                told(event)
+            if closed:
+                nursery.cancel_scope.cancel()
+            else:
+                self.flush()
+
+        async def receive() -> None:
+            while True:
+                try:
+                    data = await self._stream.receive_some(CHUNK)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    data = b""
+                if not data:
+                    deliver(self.protocol.ended())
+                    return
+                deliver(self.protocol.receive(bytes(data), trio.current_time()))
+
+        async def send() -> None:
+            while True:
+                data = self.protocol.data_to_send(trio.current_time())
+                if not data:
+                    self._wanted = trio.Event()
+                    await self._wanted.wait()
+                    continue
+                try:
+                    await self._stream.send_all(data)
+                except (trio.BrokenResourceError, trio.ClosedResourceError):
+                    deliver(self.protocol.ended())
+                    return
+
+        async def beat() -> None:
+            while True:
+                await trio.sleep(self.protocol.pause_s)
+                deliver(self.protocol.tick(trio.current_time()))
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(receive)
+            nursery.start_soon(send)
+            nursery.start_soon(beat)
+        await self._say_goodbye()
+        return closed[0] if closed else Closed(0, "cancelled")
+
+    async def _say_goodbye(self) -> None:
+        data = self.protocol.data_to_send(trio.current_time())
+        with trio.move_on_after(1.0):
+            try:
+                if data:
+                    await self._stream.send_all(data)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                log.debug("the broker no longer listened to our last words")
+        await trio.aclose_forcefully(self._stream)
+
+
+async def open_session(broker: Broker, connect: Connect = connect_tcp) -> Session:
+    """Connected, not yet logged in: that is `Opened` among the events."""
+    *_, vhost = broker.address()
+    password = broker.password()
+    with trio.fail_after(broker.timeout_s):
+        stream = await connect(broker)
+    protocol = Connection(
+        broker.user, password, vhost, heartbeat_s=broker.heartbeat_s, now=trio.current_time()
+    )
+    return Session(stream, protocol)
+
+
+async def keep_connected(
+    brokers: list[Broker],
+    serve: Callable[[Session], Callable[[Event], None]],
+    rng: random.Random,
+    connect: Connect = connect_tcp,
+) -> None:
+    """One session after another, each with the next broker of the list, until cancelled.
+    `serve` makes of a session what is told its events."""
+    failures = 0
+    number = rng.randrange(len(brokers))
+    while True:
+        broker = brokers[number % len(brokers)]
+        number += 1
+        failures += 1
+        try:
+            session = await open_session(broker, connect)
+            closed = await _run_logged_in(session, serve(session), broker.timeout_s)
+            why = f"{closed.code} {closed.text}"
+            failures = 0 if session.opened else failures
+        except (OSError, ssl.SSLError, trio.TooSlowError, trio.BrokenResourceError) as error:
+            why = f"no connection: {type(error).__name__}: {error}"
+        except BrokerError as error:
+            why = str(error)
+        pause_s = min(LAST_PAUSE_S, FIRST_PAUSE_S * 2 ** min(failures, 10))
+        pause_s *= rng.uniform(0.5, 1.0)
+        log.warning("%s: %s; the next try in %.1f s", broker.url, why, pause_s)
+        await trio.sleep(pause_s)
+
+
+async def _run_logged_in(
+    session: Session, told: Callable[[Event], None], timeout_s: float
+) -> Closed:
+    """Gives a broker up that accepts connections and says nothing."""
+    result: list[Closed] = []
+    async with trio.open_nursery() as nursery:
+
+        async def run() -> None:
+            result.append(await session.run(told))
+            nursery.cancel_scope.cancel()
+
+        nursery.start_soon(run)
+        await trio.sleep(timeout_s)
+        if not session.opened:
+            nursery.cancel_scope.cancel()
+    return result[0] if result else Closed(320, f"no login within {timeout_s:g} s")
--- /dev/null
+++ b/ryegauge/amqp/connection.py
@@ -0,0 +1,506 @@
+# kind: decisions
+"""One connection to a broker as a state machine: bytes and the time go in, events and bytes
+come out (AMQP 0-9-1, section 2.2.4, and the methods' pages; publisher confirms and blocking
+as the extensions of that version define them).
+
+Nothing here waits or reads a clock. After a `Closed` event the object does nothing more; a
+new connection begins with a new one, since channels, delivery tags and confirms end with
+theirs.
+"""
+
+from dataclasses import dataclass, field
+from typing import Any, Literal, NamedTuple
+
+from pamqp import commands as amqp
+from pamqp import frame as codec
+from pamqp.body import ContentBody
+from pamqp.commands import Basic
+from pamqp.header import ContentHeader, ProtocolHeader
+from pamqp.heartbeat import Heartbeat
+
+from ryegauge.amqp.frames import OVERHEAD, SMALLEST_MAX, Cutter, Frame, FrameError
+
+# A message larger than this closes its channel instead of filling our memory.
+BODY_MAX = 4 * 1024 * 1024
+CHANNEL_MAX = 255
+FRAME_MAX = 128 * 1024
+# A peer is given up on after so many heartbeats of silence (section 4.2.7).
+SILENT_BEATS = 2.0
+
+State = Literal["start", "tune", "open", "running", "closing", "closed"]
+ChannelState = Literal["opening", "open", "closing"]
+
+
+class Opened(NamedTuple):
+    """The connection can be used."""
+
+
+class ChannelOpened(NamedTuple):
+    channel: int
+
+
+class ChannelClosed(NamedTuple):
+    """By the broker if `code` is not 0; what was not acknowledged comes again."""
+
+    channel: int
+    code: int
+    text: str
+
+
+class Consuming(NamedTuple):
+    channel: int
+    consumer: str
+
+
+class ConsumerCancelled(NamedTuple):
+    """By the broker: the queue was deleted, or its node failed."""
+
+    channel: int
+    consumer: str
+
+
+class Delivery(NamedTuple):
+    channel: int
+    consumer: str
+    tag: int
+    redelivered: bool
+    exchange: str
+    routing_key: str
+    properties: Basic.Properties
+    body: bytes
+
+
+class Confirmed(NamedTuple):
+    """The broker took published messages over, or (`good` false) could not."""
+
+    channel: int
+    tags: tuple[int, ...]
+    good: bool
+
+
+class Returned(NamedTuple):
+    """A mandatory message that no queue takes; its confirm follows."""
+
+    channel: int
+    code: int
+    text: str
+    routing_key: str
+    properties: Basic.Properties
+
+
+class Blocked(NamedTuple):
+    """The broker takes no messages for now."""
+
+    reason: str
+
+
+class Unblocked(NamedTuple):
+    pass
+
+
+class Done(NamedTuple):
+    """The broker has done what was asked for: the method's name."""
+
+    channel: int
+    method: str
+
+
+class Closed(NamedTuple):
+    """The last event. `code` 0: as we wanted."""
+
+    code: int
+    text: str
+
+
+Event = (
+    Opened | ChannelOpened | ChannelClosed | Consuming | ConsumerCancelled | Delivery | Confirmed
+    | Returned | Blocked | Unblocked | Done | Closed
+)
+
+
+class Misuse(Exception):
+    """The caller asks for what the state of the connection or channel does not allow."""
+
+
+@dataclass(slots=True)
+class _Content:
+    """A message under way: its method, then its header, then its body in pieces."""
+
+    method: Basic.Deliver | Basic.Return
+    header: ContentHeader | None = None
+    parts: list[bytes] = field(default_factory=list)
+    size: int = 0
+
+
+@dataclass(slots=True)
+class _Channel:
+    state: ChannelState = "opening"
+    content: _Content | None = None
+    confirms: bool = False
+    published: int = 0  # delivery tags of ours count from 1 once confirms are selected
+    unconfirmed: dict[int, None] = field(default_factory=dict)
+    # Delivery tags that were given to us and not yet settled, in order.
+    unsettled: dict[int, None] = field(default_factory=dict)
+    last_tag: int = 0
+
+
+class Connection:
+    def __init__(
+        self, user: str, password: str, vhost: str = "/", *, heartbeat_s: int = 10,
+        now: float = 0.0, properties: dict[str, Any] | None = None,
+    ) -> None:
+        self._response = f"\0{user}\0{password}"
+        self._vhost = vhost
+        self._heartbeat_s = heartbeat_s
+        self._properties = {
+            "product": "ryegauge",
+            "capabilities": {
+                "publisher_confirms": True, "basic.nack": True, "connection.blocked": True,
+                "consumer_cancel_notify": True, "authentication_failure_close": True,
+            },
+            **(properties or {}),
+        }
+        self.state: State = "start"
+        self._cutter = Cutter()
+        self._out = bytearray(codec.marshal(ProtocolHeader(), 0))
+        self._channels: dict[int, _Channel] = {}
+        self._channel_max = 0
+        self._frame_max = SMALLEST_MAX
+        self._received_at = self._sent_at = now
+        self.blocked = False
+
+    # -- bytes and time ------------------------------------------------------------------
+
+    def data_to_send(self, now: float) -> bytes:
+        """What has to be sent, once; the caller sends it in order."""
+        if not self._out:
+            return b""
+        data = bytes(self._out)
+        self._out.clear()
+        self._sent_at = now
+        return data
+
+    def receive(self, data: bytes, now: float) -> list[Event]:
+        """What the bytes mean. Never raises for what a peer sends: a peer that breaks the
+        protocol ends in `Closed`, with the bytes that tell it so still to be sent."""
+        if self.over:
+            return []
+        self._received_at = now
+        events: list[Event] = []
+        try:
+            for frame in self._cutter.feed(data):
+                self._take_in(frame, events)
+                if self.over:
+                    break
+        except FrameError as error:
+            self._fail(error, events)
+        return events
+
+    def ended(self) -> list[Event]:
+        """The stream has ended, or failed."""
+        if self.state == "closed":
+            return []
+        before = self.state
+        self.state = "closed"
+        if before in ("start", "tune"):
+            # Brokers of old close the stream without a word when they refuse a user.
+            return [Closed(403, "the broker ended the connection during the login")]
+        wanted = before == "closing"
+        return [Closed(0 if wanted else 320, "closed" if wanted else "the stream has ended")]
+
+    def tick(self, now: float) -> list[Event]:
+        """Heartbeats, both ways. To be called at least every `pause_s`."""
+        beat = self._heartbeat_s
+        if self.state == "closed" or not beat:
+            return []
+        if now - self._received_at > SILENT_BEATS * beat:
+            self.state = "closed"
+            return [Closed(320, f"nothing heard for {now - self._received_at:.0f} s")]
+        if self.state == "running" and now - self._sent_at >= beat / 2:
+            self._out += codec.marshal(Heartbeat(), 0)
+        return []
+
+    @property
+    def over(self) -> bool:
+        return self.state == "closed"
+
+    @property
+    def pause_s(self) -> float:
+        return self._heartbeat_s / 4 if self._heartbeat_s else 60.0
+
+    # -- what the caller may ask for -----------------------------------------------------
+
+    def open_channel(self) -> int:
+        if self.state != "running":
+            raise Misuse(f"the connection is not open: {self.state}")
+        number = next(
+            (n for n in range(1, self._channel_max + 1) if n not in self._channels), None
+        )
+        if number is None:
+            raise Misuse(f"all {self._channel_max} channels are in use")
+        self._channels[number] = _Channel()
+        self._send(number, amqp.Channel.Open())
+        return number
+
+    def close_channel(self, number: int) -> None:
+        self._open(number).state = "closing"
+        self._send(number, amqp.Channel.Close(200, "done", 0, 0))
+
+    def prefetch(self, number: int, count: int) -> None:
+        """At most so many deliveries unsettled at once, of each consumer; 0: any number."""
+        self._open(number)
+        self._send(number, Basic.Qos(0, count, False))
+
+    def consume(self, number: int, queue: str, consumer: str) -> None:
+        self._open(number)
+        self._send(number, Basic.Consume(0, queue, consumer, False, False, False, False, {}))
+
+    def cancel(self, number: int, consumer: str) -> None:
+        self._open(number)
+        self._send(number, Basic.Cancel(consumer, False))
+
+    def declare(self, number: int, queue: str, *, durable: bool = True) -> None:
+        self._open(number)
+        self._send(
+            number, amqp.Queue.Declare(0, queue, False, durable, False, False, False, {})
+        )
+
+    def select_confirms(self, number: int) -> None:
+        self._open(number)
+        self._send(number, amqp.Confirm.Select(False))
+
+    def ack(self, number: int, tag: int) -> None:
+        self._settle(number, tag)
+        self._send(number, Basic.Ack(tag, False))
+
+    def reject(self, number: int, tag: int, *, requeue: bool) -> None:
+        """Without `requeue` the broker drops it, or hands it to the dead-letter exchange."""
+        self._settle(number, tag)
+        self._send(number, Basic.Reject(tag, requeue))
+
+    def publish(
+        self, number: int, exchange: str, routing_key: str, body: bytes,
+        properties: Basic.Properties, *, mandatory: bool = True,
+    ) -> int:
+        """The number under which it will be confirmed; 0 without confirms."""
+        channel = self._open(number)
+        self._send(number, Basic.Publish(0, exchange, routing_key, mandatory, False))
+        self._out += codec.marshal(ContentHeader(0, len(body), properties), number)
+        step = self._frame_max - OVERHEAD
+        for start in range(0, len(body), step):
+            self._out += codec.marshal(ContentBody(body[start : start + step]), number)
+        if not channel.confirms:
+            return 0
+        channel.published += 1
+        channel.unconfirmed[channel.published] = None
+        return channel.published
+
+    def close(self, code: int = 200, text: str = "done") -> None:
+        if self.state in ("closing", "closed"):
+            return
+        if self.state == "start":
+            self.state = "closed"
+            return
+        self.state = "closing"
+        self._send(0, amqp.Connection.Close(code, text, 0, 0))
+
+    def unsettled(self, number: int) -> int:
+        return len(self._open(number).unsettled)
+
+    # -- inside --------------------------------------------------------------------------
+
+    def _open(self, number: int) -> _Channel:
+        channel = self._channels.get(number)
+        if self.state != "running" or channel is None or channel.state != "open":
+            raise Misuse(f"channel {number} is not open")
+        return channel
+
+    def _settle(self, number: int, tag: int) -> None:
+        """A tag settled twice, or of an earlier connection, would close the channel, and all
+        that is under way on it would come again."""
+        if self._open(number).unsettled.pop(tag, 0) is not None:
+            raise Misuse(f"delivery {tag} on channel {number} is not ours to settle")
+
+    def _send(self, channel: int, method: Any) -> None:
+        self._out += codec.marshal(method, channel)
+
+    def _fail(self, error: FrameError, events: list[Event]) -> None:
+        """A hard error: said to the broker as far as it will listen, and over for us."""
+        if self.state not in ("start", "closing"):
+            self._send(0, amqp.Connection.Close(error.code, str(error)[:200], 0, 0))
+        self.state = "closed"
+        events.append(Closed(error.code, str(error)))
+
+    def _take_in(self, frame: Frame, events: list[Event]) -> None:
+        number, value = frame
+        if isinstance(value, Heartbeat):
+            return
+        if number == 0:
+            self._on_connection(value, events)
+            return
+        if self.state == "closing":
+            return  # whatever still comes is of no interest
+        channel = self._channels.get(number)
+        if self.state != "running" or channel is None:
+            raise FrameError(504, f"a frame on channel {number}, which is not open")
+        if isinstance(value, ContentHeader | ContentBody):
+            self._on_content(number, channel, value, events)
+        else:
+            if channel.content is not None:
+                raise FrameError(505, "a method in the middle of a message")
+            self._on_channel(number, channel, value, events)
+
+    def _on_connection(self, value: Any, events: list[Event]) -> None:
+        match value:
+            case amqp.Connection.Close():
+                self._send(0, amqp.Connection.CloseOk())
+                self.state = "closed"
+                events.append(Closed(value.reply_code or 320, str(value.reply_text)))
+            case amqp.Connection.CloseOk() if self.state == "closing":
+                self.state = "closed"
+                events.append(Closed(0, "closed"))
+            case _ if self.state == "closing":
+                return
+            case amqp.Connection.Start() if self.state == "start":
+                if "PLAIN" not in str(value.mechanisms).split():
+                    raise FrameError(530, f"no login that we know: {value.mechanisms}")
+                self.state = "tune"
+                self._send(0, amqp.Connection.StartOk(
+                    self._properties, "PLAIN", self._response, "en_US"))
+            case amqp.Connection.Tune() if self.state == "tune":
+                self._tune(value)
+            case amqp.Connection.OpenOk() if self.state == "open":
+                self.state = "running"
+                events.append(Opened())
+            case amqp.Connection.Blocked() if self.state == "running":
+                self.blocked = True
+                events.append(Blocked(str(value.reason)))
+            case amqp.Connection.Unblocked() if self.state == "running":
+                self.blocked = False
+                events.append(Unblocked())
+            case _:
+                name = getattr(value, "name", type(value).__name__)
+                raise FrameError(503, f"{name} while the connection is in state {self.state}")
+
+    def _tune(self, value: amqp.Connection.Tune) -> None:
+        """The smaller of both sides' wishes; 0 is no wish."""
+
+        def smaller(ours: int, theirs: int) -> int:
+            return min(ours, theirs) if theirs else ours
+
+        self._channel_max = smaller(CHANNEL_MAX, value.channel_max or 0)
+        self._frame_max = smaller(FRAME_MAX, value.frame_max or 0)
+        if self._frame_max < SMALLEST_MAX:
+            raise FrameError(501, f"frames of at most {self._frame_max} octets are too small")
+        self._cutter.frame_max = self._frame_max
+        # Silence is noticed by us in any case; a broker that wants no heartbeats sends none.
+        theirs = value.heartbeat or 0
+        self._heartbeat_s = smaller(self._heartbeat_s, theirs) if theirs else 0
+        self.state = "open"
+        self._send(0, amqp.Connection.TuneOk(
+            self._channel_max, self._frame_max, self._heartbeat_s))
+        self._send(0, amqp.Connection.Open(self._vhost))
+
+    def _on_channel(
+        self, number: int, channel: _Channel, value: Any, events: list[Event]
+    ) -> None:
+        match value:
+            case amqp.Channel.Close():
+                self._send(number, amqp.Channel.CloseOk())
+                del self._channels[number]
+                events.append(
+                    ChannelClosed(number, value.reply_code or 320, str(value.reply_text))
+                )
+            case amqp.Channel.CloseOk() if channel.state == "closing":
+                del self._channels[number]
+                events.append(ChannelClosed(number, 0, "closed"))
+            case _ if channel.state == "closing":
+                if isinstance(value, Basic.Deliver | Basic.Return):
+                    channel.content = _Content(value)  # its pieces follow, and are dropped
+            case amqp.Channel.OpenOk() if channel.state == "opening":
+                channel.state = "open"
+                events.append(ChannelOpened(number))
+            case _ if channel.state != "open":
+                raise FrameError(503, f"{value.name} on channel {number}, still opening")
+            case Basic.Deliver() | Basic.Return():
+                channel.content = _Content(value)
+            case Basic.ConsumeOk():
+                events.append(Consuming(number, str(value.consumer_tag)))
+            case Basic.Cancel():
+                if not value.nowait:
+                    self._send(number, Basic.CancelOk(value.consumer_tag))
+                events.append(ConsumerCancelled(number, str(value.consumer_tag)))
+            case Basic.Ack() | Basic.Nack():
+                self._confirmed(number, channel, value, events)
+            case amqp.Channel.Flow():
+                self._send(number, amqp.Channel.FlowOk(value.active))
+                events.append(Unblocked() if value.active else Blocked("channel flow"))
+            case amqp.Confirm.SelectOk():
+                channel.confirms = True
+                events.append(Done(number, "Confirm.Select"))
+            case Basic.QosOk() | Basic.CancelOk() | amqp.Queue.DeclareOk():
+                events.append(Done(number, value.name.removesuffix("Ok")))
+            case _:
+                raise FrameError(503, f"{value.name} was not expected")
+
+    def _confirmed(
+        self, number: int, channel: _Channel, value: Basic.Ack | Basic.Nack,
+        events: list[Event],
+    ) -> None:
+        last = value.delivery_tag or 0
+        if value.multiple:
+            tags = tuple(n for n in channel.unconfirmed if n <= last or not last)
+        else:
+            tags = (last,) if last in channel.unconfirmed else ()
+        if not tags:
+            raise FrameError(506, f"a confirm for {last}, which is not open")
+        for tag in tags:
+            del channel.unconfirmed[tag]
+        events.append(Confirmed(number, tags, isinstance(value, Basic.Ack)))
+
+    def _on_content(
+        self, number: int, channel: _Channel, value: ContentHeader | ContentBody,
+        events: list[Event],
+    ) -> None:
+        content = channel.content
+        if content is None:
+            raise FrameError(505, "a piece of a message without its method")
+        if isinstance(value, ContentHeader):
+            if content.header is not None:
+                raise FrameError(505, "a second header of one message")
+            if value.body_size > BODY_MAX:
+                raise FrameError(311, f"a message of {value.body_size} octets")
+            content.header = value
+        else:
+            if content.header is None:
+                raise FrameError(505, "a body before its header")
+            content.parts.append(value.value)
+            content.size += len(value.value)
+            if content.size > content.header.body_size:
+                raise FrameError(501, "a body that is longer than its header says")
+        if content.size < content.header.body_size:
+            return
+        channel.content = None
+        if channel.state == "open":
+            self._message(number, channel, content, content.header, events)
+
+    def _message(
+        self, number: int, channel: _Channel, content: _Content, header: ContentHeader,
+        events: list[Event],
+    ) -> None:
+        method, body = content.method, b"".join(content.parts)
+        if isinstance(method, Basic.Return):
+            events.append(Returned(
+                number, method.reply_code or 0, str(method.reply_text),
+                str(method.routing_key), header.properties,
+            ))
+            return
+        tag = method.delivery_tag or 0
+        if tag <= channel.last_tag:
+            raise FrameError(501, f"delivery {tag} after {channel.last_tag}")
+        channel.last_tag = tag
+        channel.unsettled[tag] = None
+        events.append(Delivery(
+            number, str(method.consumer_tag), tag, bool(method.redelivered),
+            str(method.exchange), str(method.routing_key), header.properties, body,
+        ))
--- a/ryegauge/bookkeeping/jobbook.py
+++ b/ryegauge/bookkeeping/jobbook.py
@@ -6,7 +6,8 @@
 job and what of it is done; outside the copy, `f/UID` jobs that are over.
 
 Not known to versions before pipelines, which pass over them: `r/w/UID/DIGEST/N` the
-jobs that a job needs, where its record cannot hold them, `r/s/UID/PART/N` done tasks
+jobs that a job needs, where its record cannot hold them, `r/q/UID` the answer that is owed to
+the queue that a job came from, `r/s/UID/PART/N` done tasks
 moved out of a share that grew too large, `r/o/UID` the outcome of a job that is no
 longer in the book and is needed by one that is.
 """
@@ -254,6 +255,10 @@
     return f"r/s/{uid}/{part}/{number}"
 
 
+def debt_key(uid: str) -> str:
+    return f"r/q/{uid}"
+
+
 def outcome_key(uid: str) -> str:
     return f"r/o/{uid}"
 
@@ -285,6 +290,8 @@
         # and the names of those whose outcome has yet to be looked up.
         self.outcomes: dict[str, Outcome] = {}
         self.lost: set[str] = set()
+        # Answers that are owed for jobs that came from queues: job -> (record, version).
+        self.debts: dict[str, tuple[Any, int]] = {}
         # Records that belong to no job in the book any more, to be deleted.
         self.orphans: set[str] = set()
         self._pieces: dict[str, dict[str, dict[int, list[str]]]] = {}
@@ -301,6 +308,7 @@
         self.jobs, self.live, self.nodes, self.parts, self.types = {}, {}, {}, {}, {}
         self.waiting, self.dependents, self.outcomes, self._pieces = {}, {}, {}, {}
         self.lost, self.orphans = set(), set()
+        self.debts = {}
         self.leader = None
         self.epoch += 1
         for event in items:
@@ -475,6 +483,11 @@
                     self.outcomes[uid] = value["st"]
                     self.lost.discard(uid)
                 return uid
+            case ["r", "q", uid]:
+                if value is None:
+                    self.debts.pop(uid, None)
+                else:
+                    self.debts[uid] = (value, event.version)
             case ["r", "p", part]:
                 if value is None:
                     self.parts.pop(int(part), None)
--- a/ryegauge/cli/controller.py
+++ b/ryegauge/cli/controller.py
@@ -23,10 +23,16 @@
     """Check a settings file, and the properties, without starting anything."""
     try:
         settings = load(config, properties)
+        bound = ""
+        if settings.properties.queues_file:
+            from ryegauge.queues import bindings
+
+            queues = bindings.load(settings.properties.queues_file, settings)
+            bound = f", queues: {', '.join(b.name for b in queues.bindings)}"
     except ConfigError as error:
         fail(str(error), 2)
     click.echo(
         f"{config}: good: controller {settings.node_name} of {settings.settings.nodes}, "
         f"{len(settings.settings.teams)} teams, term of authority {settings.term_s:.3g} s, "
-        f"order of jobs: {settings.properties.ordering}"
+        f"order of jobs: {settings.properties.ordering}{bound}"
     )
--- a/ryegauge/cli/emulate.py
+++ b/ryegauge/cli/emulate.py
@@ -9,7 +9,8 @@
 import trio
 
 from ryegauge.cli.common import fail
-from ryegauge.emulator.live import Emulation, EmulationError, Installation, load
+from ryegauge.config import ConfigError, read_toml
+from ryegauge.emulator.live import Emulation, Installation
 
 
 @click.command()
@@ -34,11 +35,11 @@
         format="%(asctime)s %(levelname)s %(name)s: %(message)s",
     )
     try:
-        emulation = Emulation() if config is None else load(config)
+        emulation = Emulation() if config is None else read_toml(config, Emulation)
         if controllers is not None:
             emulation = msgspec.structs.replace(emulation, controllers=controllers)
         installation = Installation(emulation, listen)
-    except EmulationError as error:
+    except ConfigError as error:
         fail(str(error), 2)
     teams = ", ".join(team.name for team in emulation.teams)
     click.echo(f"controllers: {', '.join(installation.controllers.values())}; teams: {teams}")
--- a/ryegauge/cli/experiment.py
+++ b/ryegauge/cli/experiment.py
@@ -8,6 +8,7 @@
 import click
 
 from ryegauge.cli.common import fail
+from ryegauge.config import ConfigError
 
 EXTRA = "the experiments need: pip install 'ryegauge[experiments]'"
 DAYS = Path(__file__).resolve().parent.parent / "experiments" / "days"
@@ -50,7 +51,7 @@
         from rich.progress import Progress
 
         from ryegauge.experiments import rounds
-        from ryegauge.experiments.day import Day, DayError, load
+        from ryegauge.experiments.day import Day, load
         from ryegauge.experiments.report import (
             plot_delays,
             print_tables,
@@ -66,7 +67,7 @@
         path = DAYS / f"{day_name}.toml" if day_name in _built_in() else Path(day_name)
         try:
             named[path.stem] = load(path)
-        except DayError as error:
+        except ConfigError as error:
             fail(str(error), 2)
     console = Console(width=None if os.isatty(1) else 120)
     if name == "rounds":
--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -3,12 +3,14 @@
 import os
 import tomllib
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Any, Literal, TypeVar
 
 import msgspec
 
 from ryegauge.transport.http import split_address
 
+T = TypeVar("T")
+
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 NonNegative = Annotated[float, msgspec.Meta(ge=0)]
 Count = Annotated[int, msgspec.Meta(ge=1)]
@@ -141,6 +143,8 @@
     ageing_hold_leases: NonNegative = 10.0
     # How long urgent work waits before lower work is stopped for it, in reports.
     ageing_stop_reports: NonNegative = 1.0
+    # The file that names the queues to be served; none are if it is empty.
+    queues_file: str = ""
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -181,19 +185,25 @@
         return min(0.5 * w.lease_s, 0.9 * spare)
 
 
-def load(path: str | Path, properties: str | Path | None = None) -> Settings:
-    """Reads and checks the settings; raises ConfigError with the key at fault."""
+def read_toml(path: str | Path, kind: type[T], without: str = "") -> T:
+    """What a TOML file holds, checked; raises ConfigError with the place at fault. The
+    table `without` is left out."""
     try:
         raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
     except OSError as error:
         raise ConfigError(f"{path}: cannot be read: {error.strerror}") from None
     except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
         raise ConfigError(f"{path}: not TOML: {error}") from None
-    raw.pop("properties", None)
+    raw.pop(without, None)
     try:
-        settings = msgspec.convert(raw, Settings)
+        return msgspec.convert(raw, kind)
     except msgspec.ValidationError as error:
         raise ConfigError(f"{path}: {error}") from None
+
+
+def load(path: str | Path, properties: str | Path | None = None) -> Settings:
+    """Reads and checks the settings; raises ConfigError with the key at fault."""
+    settings = read_toml(path, Settings, without="properties")
     _check(settings, str(path))
     properties = properties or os.environ.get("RYEGAUGE_PROPERTIES")
     if properties:
@@ -258,8 +268,8 @@
     for key, text in pairs.items():
         if key not in known:
             raise ConfigError(f"{path}: {key}: unknown; expected one of {', '.join(sorted(known))}")
-        if known[key] == "ordering":
-            values["ordering"] = text
+        if known[key] in ("ordering", "queues_file"):
+            values[known[key]] = text
             continue
         try:
             values[known[key]] = float(text)
--- a/ryegauge/coordination/fleet.py
+++ b/ryegauge/coordination/fleet.py
@@ -151,10 +151,6 @@
     def refused_now(self, now: float) -> set[tuple[str, str, bool]]:
         return {key for key, (until, _) in self._refused.items() if until > now}
 
-    @property
-    def longest_boot_s(self) -> float:
-        return max((t.boot_s for t in self.types.values()), default=0.0)
-
     def starting(self, now: float) -> list[Room]:
         rooms: list[Room] = []
         for r in self.machines.values():
--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -53,12 +53,13 @@
 
 
 class _Submission:
-    __slots__ = ("done", "outcome", "record", "size", "uid")
+    __slots__ = ("beside", "done", "outcome", "record", "size", "uid")
 
-    def __init__(self, uid: str, record: dict[str, Any]) -> None:
+    def __init__(self, uid: str, record: dict[str, Any], beside: tuple[Put, ...]) -> None:
         self.uid = uid
         self.record = record
-        self.size = value_bytes(record)
+        self.beside = beside  # written in the same transaction
+        self.size = value_bytes(record) + sum(200 + value_bytes(put.value) for put in beside)
         self.done = trio.Event()
         self.outcome: Answer = "unsure"
 
@@ -112,7 +113,7 @@
                 case "GET", ["v1", "jobs", uid]:
                     return await self._poll(uid)
                 case "POST", ["v1", "jobs", uid, "cancel"]:
-                    return await self._cancel(uid)
+                    return await self.cancel(uid)
         except (Unavailable, Unknown, Gone) as error:
             return _busy(f"the state service cannot be used: {error}")
         finally:
@@ -131,6 +132,11 @@
             if valid_uid(uid) and (view := await self._known(str(uid))) is not None:
                 return Reply(200, view)
             raise
+        return await self.submit(spec)
+
+    async def submit(self, spec: JobSpec, beside: tuple[Put, ...] = ()) -> Reply:
+        """What a user would be answered; `beside` is written with a job that is new. Raises
+        what reading and writing the state service raise."""
         if (job := self._book.jobs.get(spec.uid)) is not None:
             await self._syncer.fresh()
             return Reply(200, self._book.jobs.get(spec.uid, job).view())
@@ -149,7 +155,7 @@
         with trio.move_on_after(4.0):
             if (refused := await self._prepare(spec)) is not None:
                 return refused
-            return await self._record(spec)
+            return await self._record(spec, beside)
         return _busy("the job could not be recorded")
 
     async def _prepare(self, spec: JobSpec) -> Reply | None:
@@ -219,11 +225,11 @@
                 except Conflict as conflict:
                     keys = {k: names for k, names in keys.items() if k not in conflict.failed}
 
-    async def _record(self, spec: JobSpec) -> Reply:
+    async def _record(self, spec: JobSpec, beside: tuple[Put, ...]) -> Reply:
         record, pieces = self._new_record(spec, self._wall())
         if pieces:
             await self._store_pieces(spec.uid, record["w"][0], pieces)
-        submission = _Submission(spec.uid, record)
+        submission = _Submission(spec.uid, record, beside)
         self._queue.append(submission)
         self._queued.set()
         try:
@@ -256,10 +262,11 @@
 
     def _take(self, limit: int) -> tuple[list[_Submission], list[_Submission]]:
         """As many as a transaction may hold, by number and (well below 64 KiB) by size."""
-        size = 0
+        size = changes = 0
         for n, submission in enumerate(self._queue):
             size += submission.size + 200
-            if n >= limit or (n > 0 and size > 40_000):
+            changes += 1 + len(submission.beside)
+            if changes > limit or (n > 0 and size > 40_000):
                 return self._queue[:n], self._queue[n:]
         return self._queue, []
 
@@ -272,6 +279,7 @@
                 guards[job_key(uid)] = 0
                 guards[final_key(uid)] = 0
                 changes.append(Put(job_key(uid), s.record))
+                changes += s.beside
             try:
                 ledger = await self._state.commit(guards, changes, timeout_s=2.0, reserve=SOON)
             except Conflict as conflict:
@@ -312,7 +320,7 @@
         view = await self._known(uid)
         return Reply(404, {"error": "no such job"}) if view is None else Reply(200, view)
 
-    async def _cancel(self, uid: str) -> Reply:
+    async def cancel(self, uid: str) -> Reply:
         if not valid_uid(uid):
             return Reply(404, {"error": "no such job"})
         for _ in range(5):
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -112,7 +112,7 @@
             result.rentals = decided.rentals
         result.releases = self.fleet.returns(decided, now, views, self._views.silent_parts())
         self._preemption.decide(
-            decided, jobs, within, self._urgencies, self.fleet.longest_boot_s, views, now, wall
+            decided, jobs, within, self._urgencies, types, views, now, wall
         )
         return result
 
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -27,8 +27,10 @@
 
 class Node:
     def __init__(
-        self, settings: Settings, network: Network, wall: Callable[[], float], rng: random.Random
+        self, settings: Settings, network: Network, wall: Callable[[], float], rng: random.Random,
+        front: Callable[[Desk, FrontDoor], Awaitable[None]] | None = None,
     ) -> None:
+        """`front` is what else takes jobs, beside HTTP; it runs as a loop of the controller."""
         self._desk = desk = Desk(settings, network, wall, rng)
         self._parting = Parting(settings)
         self._types: dict[str, MachineType] = {}
@@ -36,6 +38,7 @@
             settings, desk.state, desk.book, desk.syncer, lambda: self._types, desk.wrote,
             desk.tell_leader, wall,
         )
+        self._other_front = front
         self._mesh = Mesh(desk, self._front)
         self._cloud = CloudCalls(desk)
         self._leading = Leading(desk, self._cloud)
@@ -64,6 +67,8 @@
             self._cloud.watch_catalog,
             self._cloud.watch_fleet,
         ]
+        if (other := self._other_front) is not None:
+            loops.append(lambda: other(self._desk, self._front))
         settings = self._desk.settings
         log.info("%s is starting, one of %d", settings.node_name, settings.settings.nodes)
         async with trio.open_nursery() as nursery:
--- a/ryegauge/coordination/preemption.py
+++ b/ryegauge/coordination/preemption.py
@@ -9,11 +9,12 @@
 from ryegauge.config import Settings
 from ryegauge.coordination.needs import zone_limits
 from ryegauge.coordination.urgency import Urgencies
-from ryegauge.coordination.views import PartState
+from ryegauge.coordination.views import PartState, Shown
 from ryegauge.ordering.model import Claim, Holding, Policy, Running
+from ryegauge.protocol.cloud import MachineType
 from ryegauge.protocol.peers import MachineView
 from ryegauge.scheduling.estimates import Estimates
-from ryegauge.scheduling.planner import Plan
+from ryegauge.scheduling.planner import EPSILON, Plan
 
 log = logging.getLogger(__name__)
 
@@ -28,10 +29,35 @@
     """Tasks of one job on one machine that may be stopped for others."""
 
     running: Running
-    machine: MachineView
+    shown: Shown
     job: Job
     count: int
 
+    @property
+    def machine(self) -> MachineView:
+        return self.shown.view
+
+
+def _fewest(job: Job, victims: list[Victim], type_: MachineType) -> list[tuple[Victim, int]] | None:
+    """The victims on one machine, in their order, that make room for one task of a job."""
+    cpus = job.spec.cpus - (type_.cpus - victims[0].shown.cpus)
+    memory_gb = job.spec.memory_gb - (type_.memory_gb - victims[0].shown.memory_gb)
+    way: list[tuple[Victim, int]] = []
+    for victim in victims:
+        if cpus <= EPSILON and memory_gb <= EPSILON:
+            break
+        spec = victim.job.spec
+        wanted = max(
+            math.ceil((cpus - EPSILON) / spec.cpus) if spec.cpus > 0 else 0,
+            math.ceil((memory_gb - EPSILON) / spec.memory_gb) if spec.memory_gb > 0 else 0,
+        )
+        stop = min(victim.count, wanted)
+        if stop > 0:
+            way.append((victim, stop))
+            cpus -= stop * spec.cpus
+            memory_gb -= stop * spec.memory_gb
+    return way if way and cpus <= EPSILON and memory_gb <= EPSILON else None
+
 
 class Preemption:
     def __init__(
@@ -53,7 +79,7 @@
 
     def decide(
         self, decided: Plan, jobs: dict[str, Job], within: set[str], urgencies: Urgencies,
-        boot_s: float, views: dict[int, PartState], now: float, wall: float,
+        types: dict[str, MachineType], views: dict[int, PartState], now: float, wall: float,
     ) -> None:
         """Makes room for what goes first, as far as the policy allows: work within its
         team's guarantee that has waited for longer than boots explain may stop work that
@@ -63,6 +89,7 @@
         policy = self._policy
         if now - self._evicted_at < policy.stop_pause * self._settings.report_gap_s:
             return
+        boot_s = max((t.boot_s for t in types.values()), default=0.0)
         rank_of = urgencies.rank
         lowest = max((rank_of(job) for job in self._book.live.values()), default=0)
         waiting: list[tuple[Job, int, Claim]] = []
@@ -104,6 +131,42 @@
                 count -= stop * int(each)
                 self._evicted_at = now
                 log.info("stopping %d of %s on %s for %s", stop, spec.uid, machine, uid)
+            if count > 0 and policy.stops_any:
+                self._stop_several(job, claim, count, victims, types, now)
+
+    def _stop_several(
+        self, job: Job, claim: Claim, count: int, victims: list[Victim],
+        types: dict[str, MachineType], now: float,
+    ) -> None:
+        """For tasks that are larger than each of those that may be stopped: several on one
+        machine, together with its free room. Of all machines the one that loses least comes
+        first, until the waiting tasks have room. Without this, small routine tasks that end
+        one by one keep a large urgent one waiting for as long as the longest of them."""
+        by_machine: dict[str, list[Victim]] = {}
+        for victim in victims:
+            if (
+                victim.count > 0
+                and victim.job is not job
+                and not (victim.machine.spot and not job.spec.spot)
+                and self._policy.may_stop(claim, victim.running)
+            ):
+                by_machine.setdefault(victim.machine.name, []).append(victim)
+        ways: list[tuple[float, str, list[tuple[Victim, int]]]] = []
+        for name, some in by_machine.items():
+            type_ = types.get(some[0].machine.type)
+            if type_ is not None and (way := _fewest(job, some, type_)) is not None:
+                lost_cpu_s = sum(
+                    n * v.job.spec.cpus * max(0.0, v.running.elapsed_s) for v, n in way
+                )
+                ways.append((lost_cpu_s, name, way))
+        ways.sort(key=lambda way: way[:2])
+        for _, name, way in ways[:count]:
+            for victim, stop in way:
+                self._evict.append((name, victim.job.spec.uid, stop))
+                victim.count -= stop
+                log.info("stopping %d of %s on %s for %s, beside others", stop,
+                         victim.job.spec.uid, name, job.spec.uid)
+            self._evicted_at = now
 
     def _beyond_guarantee(self) -> set[str]:
         used: dict[str, float] = {}
@@ -145,7 +208,7 @@
                         job.spec.team, rank, uid in within, job.spec.team in beyond, recent,
                         elapsed, left_s, aged.get(uid, False),
                     )
-                    result.append(Victim(running, shown.view, job, count))
+                    result.append(Victim(running, shown, job, count))
         result.sort(
             key=lambda v: (*policy.stop_key(v.running), v.machine.name, v.job.spec.uid)
         )
--- a/ryegauge/emulator/live.py
+++ b/ryegauge/emulator/live.py
@@ -7,14 +7,12 @@
 import random
 import subprocess
 import time
-import tomllib
-from pathlib import Path
 from typing import Annotated, Any
 
 import msgspec
 import trio
 
-from ryegauge.config import Settings
+from ryegauge.config import ConfigError, Settings
 from ryegauge.coordination.node import Node
 from ryegauge.emulator.cloud import Cloud
 from ryegauge.emulator.fleet import FleetType
@@ -27,10 +25,6 @@
 Positive = Annotated[float, msgspec.Meta(gt=0)]
 
 
-class EmulationError(Exception):
-    """A configuration that cannot be used; names the key."""
-
-
 class EmulatedTeam(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     name: str
     cpus: Positive = 8.0
@@ -58,28 +52,15 @@
     seed: int = 1
 
 
-def load(path: str | Path) -> Emulation:
-    try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise EmulationError(f"{path}: cannot be read: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise EmulationError(f"{path}: not TOML: {error}") from None
-    try:
-        return msgspec.convert(raw, Emulation)
-    except msgspec.ValidationError as error:
-        raise EmulationError(f"{path}: {error}") from None
-
-
 def loopback(listen: str) -> tuple[str, int]:
     """Host and port; a stand-in is for this machine alone, and refuses any other address."""
     try:
         host, port = split_address(listen)
         address = ipaddress.ip_address(host)
     except ValueError as error:
-        raise EmulationError(f"--listen: {error}") from None
+        raise ConfigError(f"--listen: {error}") from None
     if not address.is_loopback:
-        raise EmulationError(f"--listen: {host} is not a loopback address")
+        raise ConfigError(f"--listen: {host} is not a loopback address")
     return host, port
 
 
--- a/ryegauge/experiments/day.py
+++ b/ryegauge/experiments/day.py
@@ -1,14 +1,13 @@
 """A day of an experiment as data: installation, arrivals and troubles, from a TOML file."""
 
 import random
-import tomllib
 from collections.abc import Iterator
 from pathlib import Path
 from typing import Annotated, Any, Literal, NamedTuple
 
 import msgspec
 
-from ryegauge.config import Properties, Settings
+from ryegauge.config import ConfigError, Properties, Settings, read_toml
 from ryegauge.emulator.fleet import FleetType
 from ryegauge.protocol.jobs import Kind, Priority
 
@@ -20,10 +19,6 @@
 Number = Count | Annotated[list[int], msgspec.Meta(min_length=2, max_length=2)]
 
 
-class DayError(Exception):
-    """A day that cannot be played; names the file and the place in it."""
-
-
 class TeamSize(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     name: str
     cpus: Amount
@@ -99,31 +94,26 @@
 
 
 def load(path: str | Path) -> Day:
+    """A day that can be played; raises ConfigError with the file and the place in it."""
+    day = read_toml(path, Day)
     try:
-        raw = tomllib.loads(Path(path).read_text(encoding="utf-8"))
-    except OSError as error:
-        raise DayError(f"{path}: cannot be read: {error.strerror}") from None
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
-        raise DayError(f"{path}: not TOML: {error}") from None
-    try:
-        day = msgspec.convert(raw, Day)
         msgspec.convert(day.properties, Properties)
     except msgspec.ValidationError as error:
-        raise DayError(f"{path}: {error}") from None
+        raise ConfigError(f"{path}: $.properties: {error}") from None
     known = {team.name for team in day.installation.teams}
     for n, arrivals in enumerate(day.arrivals):
         if arrivals.team not in known:
-            raise DayError(f"{path}: $.arrivals[{n}].team: no team {arrivals.team!r}")
+            raise ConfigError(f"{path}: $.arrivals[{n}].team: no team {arrivals.team!r}")
         for key in ("tasks", "run_s"):
             span = getattr(arrivals, key)
             if isinstance(span, list) and not 0 < span[0] <= span[1]:
-                raise DayError(
+                raise ConfigError(
                     f"{path}: $.arrivals[{n}].{key}: expected two positive numbers, "
                     f"the smaller first"
                 )
     for name in day.properties:
         if name not in Properties.__struct_fields__:
-            raise DayError(f"{path}: $.properties: {name}: unknown")
+            raise ConfigError(f"{path}: $.properties: {name}: unknown")
     return day
 
 
--- a/ryegauge/service.py
+++ b/ryegauge/service.py
@@ -41,8 +41,21 @@
     import random
     import time
 
+    front = None
+    if settings.properties.queues_file:
+        try:
+            from ryegauge.queues import bindings
+            from ryegauge.queues.front import front_of
+        except ImportError as error:
+            fail(f"queues need: pip install 'ryegauge[queues]' ({error})", 2)
+        try:
+            queues = bindings.load(settings.properties.queues_file, settings)
+        except ConfigError as error:
+            fail(str(error), 2)
+        front = front_of(queues, random.SystemRandom())
+
     async def run() -> None:
-        await Node(settings, TcpNetwork(), time.time, random.SystemRandom()).run()
+        await Node(settings, TcpNetwork(), time.time, random.SystemRandom(), front).run()
 
     stopped: list[BaseException] = []
     try:
--- a/tests/test_ageing.py
+++ b/tests/test_ageing.py
@@ -129,6 +129,22 @@
     assert lead.views() == [("m-1", "wk-000001", 1)]
 
 
+def test_several_small_tasks_make_room_for_a_large_urgent_one(lead: Lead) -> None:
+    """Found by thinking: only tasks at least as large as the waiting one were stopped, so
+    that it waited for all small ones on a machine to end by themselves. Of two machines the
+    one that loses less is taken, and no more is stopped there than is needed."""
+    lead.job("wk-000001", crew="blue", pieces=4, cpus=1.0, expectS=30.0)
+    lead.allot("wk-000001", 0, [0, 1, 2, 3])
+    lead.job("wk-000002", crew="blue", pieces=3, cpus=1.0, expectS=30.0)
+    lead.allot("wk-000002", 0, [0, 1, 2])
+    lead.machine("m-1", empty=False, tasks=[("wk-000001", [0, 4], 5.0)])
+    lead.machine("m-2", empty=False, tasks=[("wk-000002", [0, 3], 25.0)])
+    lead.job("wk-000003", urgency="high", pieces=1, cpus=3.0)
+    lead.now += 2.0
+    lead.round()
+    assert lead.views() == [("m-2", "wk-000002", 2)]
+
+
 def test_a_new_leader_orders_as_the_old_one_did(settings: Settings) -> None:
     """Of pipelines too: when a stage became ready stands in the record of the one before,
     so that a book that was read anew says the same as one that saw it happen."""
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -10,7 +10,8 @@
 from click.testing import CliRunner
 
 from ryegauge.cli import main
-from ryegauge.emulator.live import Emulation, EmulationError, Installation, load, loopback
+from ryegauge.config import ConfigError, read_toml
+from ryegauge.emulator.live import Emulation, Installation, loopback
 from ryegauge.emulator.state import StateService
 from ryegauge.transport.http import TcpNetwork, encode
 
@@ -111,7 +112,7 @@
 def test_only_loopback_is_listened_on(tmp_path: Path) -> None:
     assert loopback("127.0.0.1:8080") == ("127.0.0.1", 8080)
     for bad in ("0.0.0.0:80", "10.0.0.1:80", "localhost:80", "127.0.0.1"):
-        with pytest.raises(EmulationError):
+        with pytest.raises(ConfigError):
             loopback(bad)
     result = CliRunner().invoke(main, ["emulate", "--listen", "192.168.0.1:80"])
     assert result.exit_code == 2
@@ -123,8 +124,8 @@
     for text, says in [("speeed = 1.0", "speeed"), ("speed = 0.0", r"\$\.speed"),
                        ('[[types]]\nname = "x"', r"\$\.types\[0\]"), ("[teams", "TOML")]:
         path.write_text(text)
-        with pytest.raises(EmulationError, match=says):
-            load(path)
+        with pytest.raises(ConfigError, match=says):
+            read_toml(path, Emulation)
 
 
 def test_a_job_really_runs_on_loopback_sockets(tmp_path: Path) -> None:
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -9,8 +9,9 @@
 
 from ryegauge.cli import main
 from ryegauge.cli.experiment import DAYS
+from ryegauge.config import ConfigError
 from ryegauge.emulator.world import Happened
-from ryegauge.experiments.day import DayError, load, submissions
+from ryegauge.experiments.day import load, submissions
 from ryegauge.experiments.delays import figures
 from ryegauge.experiments.play import Played
 
@@ -68,7 +69,7 @@
 def test_a_wrong_day_names_the_place(small: Path, old: str, new: str, says: str) -> None:
     assert old in SMALL
     small.write_text(SMALL.replace(old, new, 1))
-    with pytest.raises(DayError, match=says):
+    with pytest.raises(ConfigError, match=says):
         load(small)
     result = CliRunner().invoke(main, ["experiment", "ageing", "--day", str(small)])
     assert result.exit_code == 2
