--- a/ryegauge/cli/__init__.py
+++ b/ryegauge/cli/__init__.py
@@ -14,6 +14,7 @@
     "submit": ("jobs", "submit"),
     "status": ("jobs", "status"),
     "cancel": ("jobs", "cancel"),
+    "schema": ("schema", "schema"),
     "emulate": ("emulate", "emulate"),
     "experiment": ("experiment", "experiment"),
 }
--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -138,7 +138,7 @@
     ageing_rank_factor: Annotated[float, msgspec.Meta(ge=1)] = 2.0
     # Share of the fleet reserved for aged work: at least, and at most.
     ageing_floor: Share = 0.05
-    ageing_ceiling: Share = 0.2
+    ageing_ceiling: Share = 0.1
     # How long room is held free for an aged task that fits nowhere, in leases.
     ageing_hold_leases: NonNegative = 10.0
     # How long urgent work waits before lower work is stopped for it, in reports.
--- a/ryegauge/queues/front.py
+++ b/ryegauge/queues/front.py
@@ -137,6 +137,7 @@
         self._answering: set[str] = set()
         # A refused submission is tried again after a report, then after twice that, and so on.
         self._least_pause_s = desk.report_s / 2
+        self._needs_s = 4 * desk.settings.settings.workers.lease_s
 
     async def run(self) -> None:
         async with trio.open_nursery() as nursery:
@@ -183,7 +184,11 @@
             if step == "ack":
                 serving.settle(delivery)
             else:
-                reply = await self._persist(lambda: self._front.submit(spec, debt))
+                reply = await self._persist(
+                    lambda: self._front.submit(spec, debt),
+                    # Another consumer may have the message that it names, not yet recorded.
+                    unknown_s=self._needs_s if spec.needs else 0.0,
+                )
                 if reply.status in (400, 422):
                     why = reply.body.get("error", "") if isinstance(reply.body, dict) else ""
                     await self._refuse(serving, delivery, identity, why)
@@ -204,15 +209,20 @@
             record["c"] = properties.correlation_id
         return (Put(debt_key(uid), record),)
 
-    async def _persist(self, ask: Callable[[], Awaitable[Reply]]) -> Reply:
-        """Until it is answered for good. The message stays with its broker meanwhile, and
-        the broker gives us no more than the prefetch limit: nothing piles up here."""
+    async def _persist(
+        self, ask: Callable[[], Awaitable[Reply]], unknown_s: float = 0.0
+    ) -> Reply:
+        """Until it is answered for good; 422 counts as that only after `unknown_s`. The
+        message stays with its broker meanwhile, and the broker gives us no more than the
+        prefetch limit: nothing piles up here."""
+        until = trio.current_time() + unknown_s
         pause_s = self._least_pause_s
         while True:
             after_s = 0.0
             try:
                 reply = await ask()
-                if reply.status not in (429, 503):
+                early = reply.status == 422 and trio.current_time() < until
+                if reply.status not in (429, 503) and not early:
                     return reply
                 after_s = reply.retry_after_s or 0.0
             except (Unavailable, Unknown, Gone) as error:
--- a/ryegauge/queues/messages.py
+++ b/ryegauge/queues/messages.py
@@ -24,6 +24,12 @@
 CHUNK = 16 * 1024
 # What decoders are asked to support at least (RFC 8878, section 3.1.1.1.2).
 WINDOW_MAX = 8 * 1024 * 1024
+# Fields of a submission that no message may set, and those that it may leave out.
+FROM_BINDING = ("uid", "crew", "urgency", "duty")
+LEFT_OUT = {
+    "shape": "sweep", "cards": 0.0, "together": False, "spread": False, "loaners": True,
+    "waypointS": 0.0, "stowS": 0.0, "imageGb": 0.0,
+}
 JSON_TYPES = ("application/json", "text/json", None, "")
 CBOR_TYPES = ("application/cbor",)
 
@@ -99,12 +105,11 @@
 def _spec(
     binding: Binding, properties: Basic.Properties, identity: str, raw: dict[str, Any]
 ) -> JobSpec:
-    for name in ("uid", "crew", "urgency", "duty"):
+    for name in FROM_BINDING:
         if name in raw:
             raise Malformed(f"{name}: comes from the binding, not from the message")
     whole = {
-        "shape": "sweep", "cards": 0.0, "together": False, "spread": False, "loaners": True,
-        "waypointS": 0.0, "stowS": 0.0, "imageGb": 0.0, **binding.defaults, **raw,
+        **LEFT_OUT, **binding.defaults, **raw,
         "uid": uid_of(binding.name, identity), "crew": binding.team, "duty": binding.job_class,
         "urgency": binding.priority(properties.priority),
     }
--- a/tests/test_queue_days.py
+++ b/tests/test_queue_days.py
@@ -161,6 +161,25 @@
     assert played.left == 0
 
 
+def test_a_message_waits_for_one_that_is_recorded_after_it(tmp_path: Path) -> None:
+    """Several consumers: the second of two messages may be recorded first."""
+    async def swapped(world: Day, broker: Broker) -> None:
+        last = uid_of("picks", "id:last")
+        world.checker.specs[last] = {**job_body(last, **MESSAGE), "really": 4.0,
+                                     "awaits": [uid_of("picks", "id:m-50")]}
+        broker.put("work", Basic.Properties(message_id="last", reply_to="answers"),
+                   json.dumps({**MESSAGE, "awaits": ["m-50"]}).encode())
+        await trio.sleep(12.0)
+        first = uid_of("picks", "id:m-50")
+        world.checker.specs[first] = {**job_body(first, **MESSAGE), "really": 4.0}
+        broker.put("work", Basic.Properties(message_id="m-50"), json.dumps(MESSAGE).encode())
+
+    played = play(tmp_path, 7, 2, swapped, 70.0)
+    assert played.world.checker.broken == []
+    assert played.told[uid_of("picks", "id:last")] == {uid_of("picks", "id:last") + "/done"}
+    assert "dead.work" not in played.broker.queues
+
+
 def test_a_cancelled_message_is_answered_so(tmp_path: Path) -> None:
     async def cancel(world: Day, broker: Broker) -> None:
         await trio.sleep(10.0)
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -8,6 +8,7 @@
 from typing import Any, NamedTuple
 
 import cbor2
+import jsonschema
 import msgspec
 import pytest
 import zstandard
@@ -21,6 +22,7 @@
 from ryegauge.queues import bindings
 from ryegauge.queues.lifecycle import SETTLE, TAKE, next_step
 from ryegauge.queues.messages import Cancellation, Never, Submission, read, uid_of
+from ryegauge.queues.schema import message_schema
 
 FILE = """
 [[bindings]]
@@ -32,6 +34,7 @@
 [[bindings.brokers]]
 url = "amqp://127.0.0.1:5672/work"
 """
+VALID = jsonschema.Draft202012Validator(message_schema())
 BODY = {"pieces": 2, "cpus": 1.0, "memoryGb": 1.0, "kit": "img-1", "expectS": 20.0}
 
 
@@ -138,6 +141,30 @@
     assert found.identity == "id:m-1"
 
 
+VALUES = st.one_of(
+    st.none(), st.booleans(), st.integers(-2, 200_000), st.floats(-1.0, 1e6), st.text(max_size=3),
+    st.lists(st.sampled_from(["m-1", "", "x"]), max_size=2), st.sampled_from(["sweep", "gang"]),
+)
+FIELDS = st.dictionaries(
+    st.sampled_from(["pieces", "cpus", "memoryGb", "kit", "expectS", "shape", "cards", "builds",
+                     "awaits", "dueS", "uid", "cancel", "together", "district", "other"]),
+    VALUES, max_size=4,
+)
+
+
+@given(FIELDS, st.sampled_from(sorted(BODY)), st.booleans(), st.booleans())
+def test_the_published_schema_says_what_is_accepted(
+    changes: dict[str, Any], without: str, whole: bool, alone: bool
+) -> None:
+    broker = bindings.Broker("amqp://127.0.0.1")
+    binding = bindings.Binding("b", "q", "red", "pick", [broker])
+    body = changes if alone else {**BODY, **changes}
+    if not whole:
+        body.pop(without, None)
+    found = read(binding, properties(), json.dumps(body).encode())
+    assert VALID.is_valid(body) == (not isinstance(found, Never)), found
+
+
 @pytest.mark.parametrize(
     ("old", "new", "says"),
     [
