One CBOR reader, one list of policies, tags of the experiments from the policy itself

Need: a reread of the change. messages.py had written the CBOR decoding of transport.http again, the command line repeated the names of the policies, the figures built the policy of ageing by hand beside policy_of, and lifecycle claimed a table that the front follows for the answers, which are written out.

Change: each has one place. next_step, which only the exploration used, stands with it. No behaviour changes; nothing that a controller without queues loads is touched.

--- a/ryegauge/cli/experiment.py
+++ b/ryegauge/cli/experiment.py
@@ -9,6 +9,7 @@
 
 from ryegauge.cli.common import fail
 from ryegauge.config import ConfigError
+from ryegauge.experiments import POLICIES
 
 EXTRA = "the experiments need: pip install 'ryegauge[experiments]'"
 DAYS = Path(__file__).resolve().parent.parent / "experiments" / "days"
@@ -24,7 +25,7 @@
               help="A built-in day, or a TOML file; may be repeated. Built in: "
               f"{', '.join(_built_in())}. Default: all of these.")
 @click.option("--policy", "policies", multiple=True,
-              type=click.Choice(["strict, no backlog", "settled", "strict", "ageing"]),
+              type=click.Choice(POLICIES),
               help="Order of jobs to be played; may be repeated. Default: all. "
               "The first is the baseline: only what is not marked as backlog.")
 @click.option("--seed", default=1, show_default=True, help="Luck of the first run.")
@@ -63,7 +64,7 @@
             totals,
             write_events,
         )
-        from ryegauge.experiments.runs import POLICIES, Outcome, ageing_runs, play_all
+        from ryegauge.experiments.runs import Outcome, ageing_runs, play_all
     except ImportError as error:
         fail(f"{EXTRA} ({error})", 2)
     named: dict[str, Day] = {}
--- a/ryegauge/experiments/delays.py
+++ b/ryegauge/experiments/delays.py
@@ -8,6 +8,7 @@
 
 from ryegauge.experiments.day import Day, settings_of
 from ryegauge.experiments.play import Played
+from ryegauge.ordering import policy_of
 from ryegauge.ordering.ageing import Ageing
 from ryegauge.protocol.jobs import PRIORITIES
 
@@ -57,11 +58,8 @@
 
 def figures(day: Day, played: Played) -> DayFigures:
     settings = settings_of(day, "ageing")[0]
-    props = settings.properties
-    tags = Ageing(
-        patience_s=props.ageing_patience_leases * day.installation.lease_s,
-        factor=props.ageing_rank_factor, floor=0.0, ceiling=0.0, hold_s=0.0, stop_after_s=0.0,
-    )
+    tags = policy_of(settings)
+    assert isinstance(tags, Ageing)
     waits = _waits(played)
     names: list[str] = list(PRIORITIES)
     rank_of = {uid: names.index(str(b["urgency"])) for uid, b in played.bodies.items()}
--- a/ryegauge/experiments/runs.py
+++ b/ryegauge/experiments/runs.py
@@ -5,6 +5,7 @@
 from multiprocessing import get_context
 from typing import NamedTuple
 
+from ryegauge.experiments import BASELINE
 from ryegauge.experiments.day import Day
 from ryegauge.experiments.delays import DayFigures, figures
 from ryegauge.experiments.play import Played, play
@@ -30,10 +31,6 @@
     return Outcome(run, figures(run.day, played), played if keep else None)
 
 
-BASELINE = "strict, no backlog"
-POLICIES = (BASELINE, "settled", "strict", "ageing")
-
-
 def ageing_runs(day: Day, seeds: list[int], size: float, policies: tuple[str, ...]) -> list[Run]:
     """Strict priority with nothing lying around, and each order of jobs on the whole day."""
     result: list[Run] = []
--- a/ryegauge/queues/lifecycle.py
+++ b/ryegauge/queues/lifecycle.py
@@ -1,5 +1,6 @@
 # kind: decisions
-"""The life of a message, as a table that the front follows and the model check explores.
+"""The life of a message, as tables that the model check explores. The front goes through
+`TAKE` step by step; its `_answer` is written out in the order of `SETTLE`.
 
 Durable things: the message with its broker, the job and the *debt* (an answer is owed) with
 the state service, answers with the broker. A controller that ends forgets where it was and
@@ -31,8 +32,3 @@
 
 # What whoever leads does with a debt whose job is over.
 SETTLE: tuple[Step, ...] = ("answer", "confirm", "forget")
-
-
-def next_step(done: tuple[Step, ...], order: tuple[Step, ...]) -> Step | None:
-    """What follows the steps that are done; None: nothing is left to do."""
-    return order[len(done)] if len(done) < len(order) else None
--- a/ryegauge/queues/messages.py
+++ b/ryegauge/queues/messages.py
@@ -10,13 +10,12 @@
 import zlib
 from typing import Any, NamedTuple
 
-import cbor2
 import msgspec
 from pamqp.commands import Basic
 
 from ryegauge.protocol.jobs import JobSpec, parse_job
 from ryegauge.queues.bindings import Binding
-from ryegauge.transport.http import Malformed
+from ryegauge.transport.http import Malformed, decode
 
 # Names made here are 32 digits and begin with this one; users' own shorter names can't clash.
 FIRST_DIGIT = "9"
@@ -170,12 +169,8 @@
         except (msgspec.DecodeError, RecursionError) as error:
             raise Malformed(f"not JSON: {error}") from None
     if kind in CBOR_TYPES:
-        stream = io.BytesIO(data)
         try:
-            value = cbor2.CBORDecoder(stream).decode()
-        except Exception as error:  # the decoder lets several kinds through
+            return decode(data)
+        except Malformed as error:
             raise Malformed(f"not CBOR: {error}") from None
-        if stream.read(1):
-            raise Malformed("more follows the first value")
-        return value
     raise Malformed(f"content_type {kind!r}: expected application/json or application/cbor")
--- a/tests/test_queues.py
+++ b/tests/test_queues.py
@@ -20,7 +20,7 @@
 from ryegauge.config import ConfigError, load
 from ryegauge.protocol.jobs import valid_uid
 from ryegauge.queues import bindings
-from ryegauge.queues.lifecycle import SETTLE, TAKE, next_step
+from ryegauge.queues.lifecycle import SETTLE, TAKE
 from ryegauge.queues.messages import Cancellation, Never, Submission, read, uid_of
 from ryegauge.queues.schema import message_schema
 
@@ -207,6 +207,11 @@
 CRASHES, COPIES = 3, 2
 
 
+def next_step(done: tuple[str, ...], order: tuple[str, ...]) -> str | None:
+    """What follows the steps that are done; None: nothing is left to do."""
+    return order[len(done)] if len(done) < len(order) else None
+
+
 def following(s: State, take: tuple[str, ...], settle: tuple[str, ...], fixed_uid: bool
               ) -> Iterator[State]:
     for c in (0, 1):
@@ -214,7 +219,7 @@
         if steps is None and s.ready:
             yield s._replace(ready=False, taken=(*s.taken, c), done=_set(s.done, c, ()))
         if steps is not None:
-            step = next_step(steps, take)  # type: ignore[arg-type]
+            step = next_step(steps, take)
             after = _set(s.done, c, None if len(steps) + 1 >= len(take) else (*steps, step))
             if step == "ack":
                 yield s._replace(taken=tuple(t for t in s.taken if t != c), done=after)
@@ -235,7 +240,7 @@
     if s.jobs and not s.over:
         yield s._replace(over=True)
     if s.debt and s.over:
-        step = next_step(s.settled, settle)  # type: ignore[arg-type]
+        step = next_step(s.settled, settle)
         if step == "answer":
             yield s._replace(settled=(*s.settled, step), answers=s.answers + 1)
         elif step == "forget":
