--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -130,6 +130,9 @@
     patience_boots: NonNegative = 0.5
     # What deleting a machine costs at least; an idle one is kept that long.
     paid_period_s: NonNegative = 60.0
+    # How much is rented ahead for tasks on machines that are most likely lost, before that is
+    # sure: CPUs, as a share of the running fleet's. docs/operations/recovery.md.
+    ahead_share: Share = 0.5
     # In which order jobs get room; docs/operations/priorities.md.
     ordering: Literal["settled", "ageing", "strict"] = "settled"
     # How long the first task of a critical job waits before its age counts, in leases,
--- a/ryegauge/coordination/desk.py
+++ b/ryegauge/coordination/desk.py
@@ -13,6 +13,7 @@
 from ryegauge.coordination.leader import Leader
 from ryegauge.coordination.part import PartOwner
 from ryegauge.coordination.terms import Term
+from ryegauge.detection.hearing import Overheard
 from ryegauge.transport.http import Network
 
 # Errors after which a write is tried again from the newest state of the book.
@@ -41,6 +42,7 @@
         self.term = Term(settings, self.state, self.book, self.syncer, lambda: self.unique(48))
         self.owned: dict[int, PartOwner] = {}
         self.leader: Leader | None = None
+        self.overheard = Overheard(2 * shared.workers.lease_s)
         self.changed = trio.Event()  # something that owners or the leader should look at
         self.to_tell: dict[str, int] = {}  # revisions that the peers should read
         self.tell = trio.Event()
--- a/ryegauge/coordination/fleet.py
+++ b/ryegauge/coordination/fleet.py
@@ -2,22 +2,26 @@
 returned. No I/O and no clock; the loops in `cloud` make the calls.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Container, Mapping
 
 from ryegauge.config import Settings
 from ryegauge.coordination.parting import Parting
 from ryegauge.coordination.views import PartState
+from ryegauge.detection.verdicts import WELL, Cause, Grade, Verdict
 from ryegauge.protocol.cloud import ListedMachine, MachineType
 from ryegauge.protocol.peers import MachineView
 from ryegauge.scheduling.planner import Plan, Rental, Room, whole_room
 from ryegauge.scheduling.takeback import TakebackShare
 
+# Why a machine may be silent that is there, and worth more than a new one.
+COMES_BACK = {Cause.HUNG, Cause.OWNER_DEAF, Cause.OWNER_STOOD_STILL, Cause.ZONE_CUT}
+
 
 class Rented:
     """A machine as the cloud knows it."""
 
-    __slots__ = ("failed", "idle_since", "listed", "name", "noticed", "part", "reported",
-                 "running_since", "since", "spot", "type", "zone")
+    __slots__ = ("address", "failed", "heard_at", "idle_since", "listed", "name", "noticed", "part",
+                 "reported", "running_since", "since", "spot", "type", "zone")
 
     def __init__(
         self, name: str, part: int, type_: str, zone: str, spot: bool, since: float
@@ -28,9 +32,11 @@
         self.zone = zone
         self.spot = spot
         self.since = since  # rental request, in our clock
+        self.address = ""
         self.listed = False
         self.failed = False
         self.reported = False  # some part's owner has heard from it
+        self.heard_at: float | None = None  # when its owner last did, as far as was shown
         self.noticed = False
         self.idle_since: float | None = None
         self.running_since: float | None = None  # listed as running
@@ -76,6 +82,7 @@
                     entry.name, entry.type, entry.zone, entry.spot, now - entry.age_s
                 )
             rented.listed = True
+            rented.address = entry.addr or rented.address
             rented.failed = entry.state == "failed"
             if entry.state == "running" and rented.running_since is None:
                 rented.running_since = now
@@ -93,6 +100,7 @@
             # A surprise: rented by an earlier leader, or executed late.
             rented = self.add(machine.name, machine.type, machine.zone, machine.spot, now)
         rented.reported = True
+        rented.heard_at = now - machine.silent_s
         rented.noticed = rented.noticed or machine.notice
         if machine.empty:
             if rented.idle_since is None:
@@ -151,12 +159,14 @@
     def refused_now(self, now: float) -> set[tuple[str, str, bool]]:
         return {key for key, (until, _) in self._refused.items() if until > now}
 
-    def starting(self, now: float) -> list[Room]:
+    def starting(self, now: float, silent: Container[str] = ()) -> list[Room]:
         rooms: list[Room] = []
         for r in self.machines.values():
             type_ = self.types.get(r.type)
             if type_ is None or r.failed or r.reported or r.name in self.retire:
                 continue
+            if r.name in silent:
+                continue  # up, and not heard of: not about to come
             if now - r.since > self._boot_limit_s(type_):
                 continue
             room = whole_room(type_, r.name, r.zone, r.spot)
@@ -177,19 +187,28 @@
         return 3.0 * type_.boot_s
 
     def returns(
-        self, decided: Plan, now: float, views: dict[int, PartState], silent_parts: set[int]
+        self, decided: Plan, now: float, views: dict[int, PartState],
+        verdicts: Mapping[str, Verdict],
     ) -> list[str]:
         props = self._settings.properties
+        full = self.refused_now(now)
         releases: list[str] = []
         for r in self.machines.values():
             type_ = self.types.get(r.type)
             age = now - r.since
             shown = views[r.part].machines.get(r.name) if r.part in views else None
             view = None if shown is None else shown.view
+            verdict = verdicts.get(r.name, WELL)
+            grade, is_full = verdict.grade, (r.type, r.zone, r.spot) in full
             if r.failed:
                 releases.append(r.name)
             elif type_ is None:
                 continue
+            elif grade is Grade.OVER and is_full and verdict.cause not in COMES_BACK:
+                # Nothing runs there any more, and what it was can be had again only once it
+                # is returned. (While there is more to be had it is kept: a hung or cut off
+                # machine is back sooner than a new one would be up.)
+                releases.append(r.name)
             elif not r.reported:
                 # Never boots: it is charged until deleted. One that is listed as running
                 # may only be unheard: by a new leader, or since its owner and we cannot
@@ -218,13 +237,9 @@
             ):
                 # Told first, released once its owner confirms that it stays empty.
                 self.retire.add(r.name)
-            elif r.part not in silent_parts and self._presumed_lost(view):
+            elif grade is Grade.LOST and (is_full or verdict.isolated):
+                # Releasing makes its end certain before its lease runs out, so that its
+                # tasks can start elsewhere. If many are silent at once, more of them may
+                # come back, and its lease ends soon: only where its room is wanted.
                 releases.append(r.name)
         return releases[:100]
-
-    def _presumed_lost(self, view: MachineView) -> bool:
-        """Silent for several reports: most likely taken or dead. Releasing makes that
-        certain before its lease runs out, so that its tasks can start elsewhere. Not if
-        many machines of its part are silent: then it is rather their controller that
-        does not hear them."""
-        return view.silent_s > (2 if view.notice else 3) * self._settings.report_gap_s
--- a/ryegauge/coordination/held.py
+++ b/ryegauge/coordination/held.py
@@ -2,6 +2,7 @@
 
 from typing import Literal
 
+from ryegauge.detection.verdicts import Probe
 from ryegauge.protocol.workers import Report, TaskKey, TaskReport
 
 # unseen: allotted before this token; may run on a machine not heard from yet.
@@ -34,7 +35,7 @@
 class Machine:
     __slots__ = (
         "address", "alive", "direct", "heard_at", "idle_since", "images", "name", "notice_at",
-        "retiring", "spot", "stamp", "strikes", "tasks", "trusted", "type", "zone",
+        "probes", "retiring", "spot", "stamp", "strikes", "tasks", "trusted", "type", "zone",
     )
 
     def __init__(self, report: Report, now: float) -> None:
@@ -49,6 +50,7 @@
         self.trusted = False  # has reported under this token
         self.stamp = (0, 0)
         self.heard_at = now
+        self.probes: list[Probe] = []  # since it was heard
         self.notice_at: float | None = None  # when the cloud takes it away
         self.retiring = False
         self.strikes = 0
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -6,18 +6,23 @@
 
 import logging
 import math
+from collections import Counter
 from dataclasses import dataclass, field
 
+import msgspec
+
 from ryegauge.bookkeeping.jobbook import Job, JobBook, Share
 from ryegauge.config import Settings
 from ryegauge.coordination.allotting import allot, open_needs, within_guarantee
 from ryegauge.coordination.fleet import Fleet
 from ryegauge.coordination.preemption import Preemption
-from ryegauge.coordination.rooms import critical_tasks, running_rooms, take_in_transit
+from ryegauge.coordination.rooms import critical_tasks, missed_tasks, running_rooms, take_in_transit
+from ryegauge.coordination.silences import Silences
 from ryegauge.coordination.urgency import Urgencies
 from ryegauge.coordination.views import Views
+from ryegauge.detection.verdicts import Verdict
 from ryegauge.ordering import policy_of
-from ryegauge.protocol.cloud import ListedMachine
+from ryegauge.protocol.cloud import ListedMachine, MachineType
 from ryegauge.protocol.peers import PartOrders, PartView
 from ryegauge.scheduling.estimates import Estimates
 from ryegauge.scheduling.planner import Market, Plan, Rental, Room, plan
@@ -41,6 +46,7 @@
         self._settings = settings
         self._teams = {team.name: team for team in settings.settings.teams}
         self._views = Views(book, settings)
+        self._silences = Silences(settings)
         self.fleet = Fleet(settings, now)
         self.backlog = False  # the last round's allotments could not all be written
         self._logged_at = -math.inf
@@ -50,17 +56,20 @@
         self._urgencies = Urgencies(book, settings, self.estimates, ())
 
     def on_view(self, view: PartView, now: float) -> PartOrders:
+        self._silences.take_in(view, now)
         state = self._views.take_in(view, now)
         if state is None:
             return PartOrders(self._book.ledger, [], [], resync=True)
         for sample in view.samples:
-            self.estimates.add(sample.job_class, sample.count, sample.log_ratio_sum)
+            self.estimates.add(*msgspec.structs.astuple(sample))
         for machine in view.machines:
             self.fleet.shown(machine, now)
         mine = [name for name in state.machines if name in self.fleet.gone]
         retire = [name for name in self.fleet.retire if name in state.machines]
         evict = self._preemption.orders(state.machines)
-        return PartOrders(self._book.ledger, retire, mine, evict)
+        return PartOrders(
+            self._book.ledger, retire, mine, evict, unheard=self._silences.unheard(view.part)
+        )
 
     def on_list(self, machines: list[ListedMachine], now: float) -> None:
         self.fleet.on_list(machines, now, self._views.heard)
@@ -73,7 +82,8 @@
         if not types:
             return result
         views = self._views.fresh(now)
-        running = running_rooms(self._book, self.fleet, views, now)
+        running = running_rooms(self._book, self.fleet, views, self.estimates, now)
+        verdicts = self._silences.verdicts(self.fleet, views, now)
         take_in_transit(self._book, self.estimates, running, views)
         within = within_guarantee(self._book, self._teams, lambda job: job.ready_at)
         self._urgencies = Urgencies(self._book, self._settings, self.estimates, types.values())
@@ -87,7 +97,7 @@
         )
         market = Market(
             types=types,
-            refused=self.fleet.refused_now(now),
+            refused=self.fleet.refused_now(now) | self._cut_off(types),
             takeback_share=self.fleet.takeback.share(now),
             takeback_threshold=self._settings.properties.takeback_threshold,
             patience=self._settings.properties.patience_boots,
@@ -95,12 +105,17 @@
         )
         due = [(need.uid, need.count) for need in needs if need.due]
         decided = plan(
-            needs, running, self.fleet.starting(now), market, wall,
+            needs, running, self.fleet.starting(now, verdicts), market, wall,
             critical_tasks(self.fleet, views, self._urgencies, self.estimates, now, wall),
+            missed_tasks(
+                self.fleet, views, verdicts, self._urgencies, self.estimates,
+                self._settings.properties.ahead_share,
+            ),
         )
         if now - self._logged_at > 10:
             self._logged_at = now
             self._log(decided, jobs, running, market)
+            self._log_silent(verdicts)
             if due:
                 log.info(
                     "due by age: %d tasks of %d jobs, first %s since %.0f s",
@@ -110,12 +125,27 @@
         result.allotments = allot(decided, jobs, self._settings.state_limits.value_bytes)
         if self.fleet.listed_once:
             result.rentals = decided.rentals
-        result.releases = self.fleet.returns(decided, now, views, self._views.silent_parts())
+        result.releases = self.fleet.returns(decided, now, views, verdicts)
         self._preemption.decide(
             decided, jobs, within, self._urgencies, types, views, now, wall
         )
         return result
 
+    def _cut_off(self, types: dict[str, MachineType]) -> set[tuple[str, str, bool]]:
+        """What is rented in a zone that nothing is heard of could not be used either."""
+        return {
+            (name, zone, spot)
+            for zone in self._silences.cut for name in types for spot in (True, False)
+        }
+
+    def _log_silent(self, verdicts: dict[str, Verdict]) -> None:
+        counts = Counter((v.grade.name.lower(), v.cause.value) for v in verdicts.values())
+        if counts:
+            log.info(
+                "silent machines: %s",
+                ", ".join(f"{n} {grade} ({cause})" for (grade, cause), n in sorted(counts.items())),
+            )
+
     def _log(
         self, decided: Plan, jobs: dict[str, Job], running: list[Room], market: Market
     ) -> None:
@@ -128,13 +158,16 @@
             if room.cpus > 0:
                 pieces[room.cpus] = pieces.get(room.cpus, 0) + 1
         log.info(
-            "open tasks by cpus %s, %d of them for want of room, %d placed now; %d machines, "
+            "open tasks by cpus %s, %d of them for want of room (%d wait for a busy machine, "
+            "%d for one that boots), %d placed now; %d machines, "
             "%d open, %.0f cpus free of %.0f in pieces of %s; "
-            "renting %s; refused %s; take-back share %.2f",
+            "renting %s, %d of them ahead; refused %s; take-back share %.2f",
             dict(sorted(waiting.items())), sum(n for _, n in decided.unplaced),
+            decided.wait_busy, decided.wait_boots,
             sum(p.count for p in decided.placements), len(self.fleet.machines), len(running),
             sum(max(0.0, r.cpus) for r in running), sum(r.type.cpus for r in running),
             dict(sorted(pieces.items())),
             [(r.type, r.zone, r.spot, r.count) for r in decided.rentals],
+            decided.ahead,
             sorted(market.refused), market.takeback_share,
         )
--- a/ryegauge/coordination/mesh.py
+++ b/ryegauge/coordination/mesh.py
@@ -3,6 +3,7 @@
 the vows (`terms`)."""
 
 import logging
+from collections.abc import Awaitable, Callable, Sequence
 
 import trio
 
@@ -15,6 +16,8 @@
     Message,
     PartView,
     Poke,
+    Probe,
+    ProbeAnswer,
     Relay,
     RelayAnswer,
     Vow,
@@ -37,6 +40,8 @@
             )
             for peer in desk.settings.known
         }
+        # Asks workers on a peer's behalf.
+        self.on_probe: Callable[[Sequence[str]], Awaitable[list[str]]] | None = None
         desk.state.use_relay(self._relay, patience_s=desk.settings.term_s / 5)
 
     async def tell_peers(self) -> None:
@@ -190,4 +195,7 @@
                 return Reply(200, to_wire(HelloAnswer(self._desk.settings.node_name)))
             case Relay():
                 return await self._carry(message)
+            case Probe(addresses=addresses) if self.on_probe is not None:
+                outcomes = await self.on_probe(addresses)
+                return Reply(200, to_wire(ProbeAnswer(self._desk.settings.node_name, outcomes)))
         return Reply(400, ["unexpected"])
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -17,6 +17,7 @@
 from ryegauge.coordination.outcomes import Outcomes
 from ryegauge.coordination.part import PartOwner
 from ryegauge.coordination.parting import Parting
+from ryegauge.coordination.probing import Probing
 from ryegauge.protocol.cloud import MachineType, parse
 from ryegauge.protocol.peers import PartOrders
 from ryegauge.protocol.workers import parse_report, report_reply
@@ -24,6 +25,9 @@
 
 log = logging.getLogger(__name__)
 
+# Machines of others that are told of in one view.
+MOST_OVERHEARD = 200
+
 
 class Node:
     def __init__(
@@ -44,6 +48,8 @@
         self._leading = Leading(desk, self._cloud)
         self._outcomes = Outcomes(desk)
         self._commands = Commands(desk)
+        self._probing = Probing(desk, self._mesh)
+        self._told_overheard = float("-inf")
         self._seen = 0  # revision up to which everybody here has been woken
         desk.book.on_job.append(self._on_job)
         desk.syncer.on_sync.append(self._on_sync)
@@ -58,6 +64,7 @@
             self._outcomes.write,
             self._report_parts,
             self._hand_over,
+            self._probing.run,
             self._mesh.greet,
             self._mesh.ask_vows,
             self._mesh.probe_state,
@@ -157,7 +164,9 @@
                 now = trio.current_time()
                 if leader is None or not self._desk.term.valid(now):
                     continue
-                view = owner.view(self._desk.settings.node_name, leader.token, now)
+                # What we overheard goes along once, with whichever part comes first.
+                overheard = self._desk.overheard.since(self._told_overheard, now, MOST_OVERHEARD)
+                view = owner.view(self._desk.settings.node_name, leader.token, now, overheard)
                 orders: object = None
                 if leader.node == self._desk.settings.node_name:
                     if self._desk.leader is not None:
@@ -165,9 +174,11 @@
                 elif (client := self._mesh.peers.get(leader.node)) is not None:
                     orders = await self._mesh.ask(client, view)
                 if isinstance(orders, PartOrders):
+                    self._told_overheard = now
                     owner.shown(view.seq, orders.resync)
                     owner.gone(orders.gone)
                     owner.retire(orders.retire)
+                    owner.unheard(orders.unheard)
                     for machine, uid, count in orders.evict:
                         owner.evict(machine, uid, count)
             # Well within what the leader takes for a part out of sight.
@@ -195,6 +206,7 @@
         part = self._parting.part_of(report.machine, report.zone)
         owner = self._desk.owned.get(part)
         if owner is None:
+            self._desk.overheard.heard(report.machine, now)
             other = self._desk.book.parts.get(part)
             if other is not None and other.node != self._desk.settings.node_name:
                 return Reply(421, {"foreman": other.node})
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -9,6 +9,8 @@
 import math
 from collections.abc import Callable, Iterable
 
+import msgspec
+
 from ryegauge.bookkeeping.jobbook import JobBook
 from ryegauge.bookkeeping.ranges import Ranges
 from ryegauge.config import CLOCK_DRIFT, Settings
@@ -16,6 +18,8 @@
 from ryegauge.coordination.held import Machine, Phase, Task
 from ryegauge.coordination.needs import make_need, task_sizes
 from ryegauge.coordination.showing import Showing, Signature
+from ryegauge.detection.hearing import Attention, Hearing
+from ryegauge.detection.verdicts import SUSPECT_GAPS, Probe
 from ryegauge.protocol.cloud import MachineType
 from ryegauge.protocol.peers import MachineView, PartView, RunSample
 from ryegauge.protocol.workers import (
@@ -62,6 +66,10 @@
         # its lease: it could last answer before this token existed.
         self._barrier_at = now + self.lease_s
         self.machines: dict[str, Machine] = {}
+        # Machines of ours that have never reported here or were given up: name -> (address,
+        # attempts to ask them).
+        self._unheard: dict[str, tuple[str, list[Probe]]] = {}
+        self._hearing = Hearing(Attention(settings.settings.workers.report_s, now))
         self._stamps: dict[str, tuple[float, float]] = {}  # of machines given up
         self.tasks: dict[TaskKey, Task] = {}
         self._by_job: dict[str, set[TaskKey]] = {}
@@ -71,7 +79,7 @@
         self.leaving: set[TaskKey] = set()
         self._bulky: set[str] = set()  # jobs whose share's record has grown too large
         self.estimates = Estimates()
-        self._samples: dict[str, tuple[int, float]] = {}
+        self._samples: dict[str, tuple[int, float, float]] = {}
         # Counts reports that said something new. Most only renew a lease, and looking
         # at everything again for each would take most of the time.
         self.revision = 0
@@ -167,8 +175,8 @@
         if job is not None and task.running_since is not None and job.spec.estimate_s > 0:
             took = max(0.1, now - task.running_since)
             ratio = math.log(took / job.spec.estimate_s)
-            count, total = self._samples.get(job.spec.job_class, (0, 0.0))
-            self._samples[job.spec.job_class] = (count + 1, total + ratio)
+            count, total, squares = self._samples.get(job.spec.job_class, (0, 0.0, 0.0))
+            self._samples[job.spec.job_class] = (count + 1, total + ratio, squares + ratio**2)
         self._failures.pop(task.key[0], None)
         task.machine = None
         self._leave(task, done=True)
@@ -204,6 +212,8 @@
         # Whatever is answered may renew the lease, so it counts as heard.
         if checkin:
             machine.heard_at = now
+            machine.probes.clear()
+            self._hearing.heard(machine.name, now)
         if report.token < self.token:
             # Sent before the worker saw this token: it may still have been given
             # commands by an earlier authority. The answer shows it the token.
@@ -356,6 +366,41 @@
         if machine is not None and machine.stamp[0] == session:
             machine.direct -= {(c.task, c.attempt) for c in commands}
 
+    # -- silence ------------------------------------------------------------------------
+
+    def unheard(self, machines: Iterable[tuple[str, str]]) -> None:
+        """What the leader has listed in our part and we have not shown: (name, address)."""
+        known = self._unheard
+        self._unheard = {
+            name: (address, known[name][1] if name in known else [])
+            for name, address in machines if address and name not in self.machines
+        }
+
+    def to_probe(self, now: float) -> list[tuple[str, str]]:
+        """(machine, address) of the silent that should be asked: those of whom nobody has
+        learnt anything for a report, the longest silent first."""
+        gap_s = self._settings.report_gap_s
+        silent = [
+            (m.heard_at, m.name, m.address, m.probes) for m in self.machines.values()
+            if m.address and self._hearing.silent_s(m.name, now) > SUSPECT_GAPS * gap_s
+        ]
+        silent += [(now, name, *entry) for name, entry in self._unheard.items()]
+        silent.sort(key=lambda entry: entry[:2])
+        return [
+            (name, address) for _, name, address, probes in silent
+            if all(now - p.at > gap_s for p in probes)
+        ]
+
+    def probed(self, name: str, probe: Probe) -> None:
+        """One for each controller that asked; a report that came meanwhile says more."""
+        machine = self.machines.get(name)
+        if machine is None:
+            if name in self._unheard:
+                address, probes = self._unheard[name]
+                self._unheard[name] = address, [*(p for p in probes if p.by != probe.by), probe]
+        elif machine.heard_at < probe.at:
+            machine.probes = [*(p for p in machine.probes if p.by != probe.by), probe]
+
     # -- time ---------------------------------------------------------------------------
 
     def gone(self, names: Iterable[str]) -> None:
@@ -363,6 +408,7 @@
         for name in names:
             machine = self.machines.pop(name, None)
             if machine is not None:
+                self._hearing.forget(name)
                 self._gave_up(name, (math.inf, math.inf))
                 for key in list(machine.tasks):
                     self._end(self.tasks[key])
@@ -393,11 +439,13 @@
             task.withdrawn = True
 
     def tick(self, now: float, wall: float) -> None:
+        self._hearing.attention.look(now)
         for machine in list(self.machines.values()):
             if now > machine.heard_at + self.lease_s:
                 # Its lease has run out: it killed everything and begins a new session.
                 for key in list(machine.tasks):
                     self._end(self.tasks[key])
+                self._hearing.forget(machine.name)
                 self._gave_up(machine.name, (machine.stamp[0], math.inf))
                 del self.machines[machine.name]
         # A machine that was answered but has not reported under this token yet had
@@ -486,7 +534,9 @@
         over = [self.tasks[key] for key in self.leaving]
         return shares.pending(self._book, self._settings, self.part, over, self._bulky, wall)
 
-    def view(self, node: str, leader: int, now: float) -> PartView:
+    def view(
+        self, node: str, leader: int, now: float, overheard: Iterable[tuple[str, float]] = ()
+    ) -> PartView:
         """What the leader (by its token) has not been shown yet."""
         machines, gone = self._showing.next(
             leader, self.machines,
@@ -495,15 +545,31 @@
         leaving: dict[str, int] = {}
         for key in self.leaving:
             leaving[key[0]] = leaving.get(key[0], 0) + 1
-        samples = [RunSample(name, n, total) for name, (n, total) in self._samples.items()]
+        samples = [RunSample(name, *sums) for name, sums in self._samples.items()]
         self._samples.clear()
         for sample in samples:
-            self.estimates.add(sample.job_class, sample.count, sample.log_ratio_sum)
+            self.estimates.add(*msgspec.structs.astuple(sample))
         return PartView(
             node, self.part, self.token, self._book.ledger, machines, samples,
             self._showing.seq, self._showing.acknowledged, gone, list(leaving.items()),
+            list(overheard), self._silences(machines, now),
         )
 
+    def _silences(
+        self, shown: Iterable[MachineView], now: float
+    ) -> list[tuple[str, float, list[tuple[str, str, float]]]]:
+        stood_still_s = self._hearing.attention.stood_still_s
+        silent = [
+            self.machines[view.name] for view in shown
+            if view.silent_s > SUSPECT_GAPS * self._settings.report_gap_s
+        ]
+        result = [(m.name, stood_still_s(m.heard_at), m.probes) for m in silent]
+        result += [(name, 0.0, probes) for name, (_, probes) in self._unheard.items() if probes]
+        return [
+            (name, stood_s, [(p.by, p.outcome, now - p.at) for p in probes])
+            for name, stood_s, probes in result
+        ]
+
     def shown(self, seq: int, resync: bool) -> None:
         self._showing.answered(seq, resync)
 
--- a/ryegauge/coordination/rooms.py
+++ b/ryegauge/coordination/rooms.py
@@ -1,20 +1,23 @@
 """Room on machines, as the leader knows it, and what takes some of it. Pure functions."""
 
 import math
+from collections.abc import Mapping
 
 from ryegauge.bookkeeping.jobbook import Job, JobBook
 from ryegauge.coordination.fleet import Fleet
-from ryegauge.coordination.needs import make_need, task_sizes
+from ryegauge.coordination.needs import make_need, task_sizes, zone_limits
 from ryegauge.coordination.urgency import Urgencies
 from ryegauge.coordination.views import PartState, Shown
+from ryegauge.detection.verdicts import Verdict, worth_replacing
 from ryegauge.scheduling.estimates import Estimates
 from ryegauge.scheduling.planner import Need, Room, place, standby_rule, whole_room
 
 
 def running_rooms(
-    book: JobBook, fleet: Fleet, views: dict[int, PartState], now: float
+    book: JobBook, fleet: Fleet, views: dict[int, PartState], estimates: Estimates, now: float
 ) -> list[Room]:
     """Free room on machines that take tasks, by what their owners have shown."""
+    overdue_s: dict[tuple[str, float], float] = {}
     rooms: list[Room] = []
     for part, state in views.items():
         for name, shown in state.machines.items():
@@ -33,9 +36,11 @@
             )
             room.images = set(m.images)
             room.used = bool(m.tasks)
-            room.busy = [
-                (max(0.0, until - now), n, c, g, k) for until, n, c, g, k in shown.busy
-            ]
+            for job_class, estimate_s, until, n, cpus, memory_gb, gpus in shown.busy:
+                kind = (job_class, estimate_s)
+                if (least_s := overdue_s.get(kind)) is None:
+                    least_s = overdue_s[kind] = estimates.overdue_s(*kind)
+                room.busy.append((max(least_s, until - now), n, cpus, memory_gb, gpus))
             rooms.append(room)
     return rooms + _out_of_sight(book, fleet, views)
 
@@ -124,3 +129,34 @@
             for job, count in fullest[2]
         ]
     }
+
+
+def missed_tasks(
+    fleet: Fleet, views: dict[int, PartState], verdicts: Mapping[str, Verdict],
+    urgencies: Urgencies, estimates: Estimates, share: float,
+) -> list[Need]:
+    """The tasks on machines that are most likely lost, the most urgent first, as far as their
+    CPUs stay within a share of the fleet's: replacements for them are rented ahead."""
+    lost: dict[str, tuple[Job, int]] = {}
+    fleet_cpus = 0.0
+    for state in views.values():
+        for name, shown in state.machines.items():
+            type_ = fleet.types.get(shown.view.type)
+            fleet_cpus += 0.0 if type_ is None else type_.cpus
+            if name not in verdicts or not worth_replacing(verdicts[name]):
+                continue
+            for job, count, _ in shown.tasks:
+                if not job.over and job.spec.kind == "sweep" and zone_limits(job) is None:
+                    lost[job.spec.uid] = (job, lost.get(job.spec.uid, (job, 0))[1] + count)
+    ordered = sorted(
+        lost.values(), key=lambda entry: (*urgencies.of(entry[0])[::-1], entry[0].spec.uid)
+    )
+    needs: list[Need] = []
+    left = share * fleet_cpus
+    for job, count in ordered:
+        spec = job.spec
+        count = min(count, int(left / spec.cpus) if spec.cpus > 0 else count)
+        if count > 0:
+            left -= count * spec.cpus
+            needs.append(make_need(job, count, None, estimates, urgencies.latest_finish(job)))
+    return needs
--- /dev/null
+++ b/ryegauge/coordination/silences.py
@@ -0,0 +1,118 @@
+"""What the leader makes of the machines that are silent, from all that it is shown of them.
+No I/O and no clock."""
+
+import math
+
+from ryegauge.config import CLOCK_DRIFT, Settings
+from ryegauge.coordination.fleet import Fleet, Rented
+from ryegauge.coordination.views import PartState
+from ryegauge.detection.verdicts import (
+    SUSPECT_GAPS,
+    Evidence,
+    Grade,
+    Limits,
+    Probe,
+    Verdict,
+    cut_zones,
+    judge,
+)
+from ryegauge.protocol.peers import PartView
+
+# Machines that an owner is asked to ask, at once; with those that answer or are returned,
+# others follow.
+MOST_UNHEARD = 100
+
+
+class Silences:
+    def __init__(self, settings: Settings) -> None:
+        self._limits = Limits(
+            settings.report_gap_s,
+            settings.settings.workers.lease_s * (1 + 4 * CLOCK_DRIFT) + 0.1,
+        )
+        self._unheard: dict[int, list[tuple[str, str]]] = {}
+        self.cut: set[str] = set()  # zones that nothing is heard of
+        self._overheard: dict[str, float] = {}  # machine -> when another than its owner heard it
+
+    def take_in(self, view: PartView, now: float) -> None:
+        for name, ago_s in view.overheard:
+            self._overheard[name] = max(self._overheard.get(name, -math.inf), now - ago_s)
+
+    def verdicts(
+        self, fleet: Fleet, views: dict[int, PartState], now: float
+    ) -> dict[str, Verdict]:
+        """Of the machines that are not well, in the parts that can be seen: those that their
+        owners show as silent, and those that are listed as running and not shown at all,
+        because their lease ran out or a new owner has not heard of them yet."""
+        keep_s = 2 * self._limits.lease_s
+        self._overheard = {n: at for n, at in self._overheard.items() if now - at < keep_s}
+        by_part: dict[int, list[Rented]] = {part: [] for part in views}
+        for rented in fleet.machines.values():
+            if rented.part in views and (rented.running_since is not None or rented.reported):
+                by_part[rented.part].append(rented)
+        silent = {
+            part: [(r, self._silent_s(r, views[part], now)) for r in machines]
+            for part, machines in by_part.items()
+        }
+        gap_s = SUSPECT_GAPS * self._limits.gap_s
+        zones: dict[str, tuple[int, int]] = {}
+        shares: dict[int, float] = {}
+        for part, some in silent.items():
+            heard = 0
+            for rented, silent_s in some:
+                well = silent_s <= gap_s or rented.noticed
+                heard += well
+                h, n = zones.get(rented.zone, (0, 0))
+                zones[rented.zone] = (h + well, n + 1)
+            shares[part] = heard / len(some) if some else 1.0
+        self.cut = cut_zones(zones)
+        result: dict[str, Verdict] = {}
+        for part, some in silent.items():
+            for rented, silent_s in some:
+                if silent_s <= gap_s:
+                    continue
+                verdict = self._judge(rented, silent_s, views[part], shares[part], now)
+                if verdict.grade is not Grade.WELL:
+                    result[rented.name] = verdict
+        self._unheard = {
+            part: [
+                (r.name, r.address) for r, silent_s in some
+                if silent_s > gap_s and r.name not in views[part].machines
+            ][:MOST_UNHEARD]
+            for part, some in silent.items()
+        }
+        return result
+
+    def unheard(self, part: int) -> list[tuple[str, str]]:
+        """(name, address) of a part's machines that are silent and not shown by its owner."""
+        return self._unheard.get(part, [])
+
+    def _judge(
+        self, rented: Rented, silent_s: float, state: PartState, share: float, now: float
+    ) -> Verdict:
+        stood_s, told = state.silences.get(rented.name, (0.0, []))
+        probes = [
+            probe for by, outcome, ago_s in told
+            if (probe := Probe.of(by, outcome, state.at - ago_s)) is not None
+        ]
+        elsewhere_s = now - self._overheard.get(rented.name, -math.inf)
+        return judge(
+            Evidence(
+                silent_s - stood_s, silent_s, elsewhere_s, probes, rented.noticed, stood_s, share,
+                rented.zone in self.cut,
+            ),
+            self._limits,
+        )
+
+    def _silent_s(self, rented: Rented, state: PartState, now: float) -> float:
+        """Seconds since its last word to an owner."""
+        shown = state.machines.get(rented.name)
+        if shown is not None:
+            # What is silent is shown anew with each view; what is not was heard since.
+            silent_s = shown.view.silent_s
+            if silent_s > SUSPECT_GAPS * self._limits.gap_s:
+                silent_s += now - shown.at
+            return silent_s
+        # Its owner gave it up at the end of its lease, or is new and has not heard it yet.
+        return now - max(
+            state.since, rented.running_since or -math.inf, rented.heard_at or -math.inf
+        )
--- a/ryegauge/coordination/views.py
+++ b/ryegauge/coordination/views.py
@@ -22,7 +22,8 @@
         self.cpus = self.memory_gb = self.gpus = 0.0  # taken by its tasks
         self.known = True  # whether the book has all of its jobs
         self.tasks: list[tuple[Job, int, float]] = []  # (job, tasks, when the longest ends)
-        self.busy: list[tuple[float, int, float, float, float]] = []
+        # (job class, estimate, when it ends, tasks, CPUs, GB, cards)
+        self.busy: list[tuple[str, float, float, int, float, float, float]] = []
         for uid, flat, left_s in view.tasks:
             job = book.jobs.get(uid)
             if job is None:
@@ -31,7 +32,10 @@
             n = len(Ranges.from_flat(flat))
             spec = job.spec
             self.tasks.append((job, n, at + left_s))
-            self.busy.append((at + left_s, n, spec.cpus, spec.memory_gb, spec.gpus))
+            self.busy.append((
+                spec.job_class, spec.estimate_s, at + left_s, n, spec.cpus, spec.memory_gb,
+                spec.gpus,
+            ))
             self.cpus += n * spec.cpus
             self.memory_gb += n * spec.memory_gb
             self.gpus += n * spec.gpus
@@ -40,14 +44,18 @@
 class PartState:
     """What the leader knows of a part: whole views, and changes to them since."""
 
-    __slots__ = ("at", "leaving", "machines", "node", "seq", "token")
+    __slots__ = ("at", "leaving", "machines", "node", "seq", "silences", "since",
+                 "token")
 
-    def __init__(self, node: str, token: int) -> None:
+    def __init__(self, node: str, token: int, since: float) -> None:
+        self.since = since  # when this owner first showed the part; it has listened since
         self.node = node
         self.token = token
         self.seq = 0
         self.at = -math.inf
         self.machines: dict[str, Shown] = {}
+        # Silent machine -> (seconds that its owner stood still, attempts to ask it).
+        self.silences: dict[str, tuple[float, list[tuple[str, str, float]]]] = {}
         self.leaving: dict[str, int] = {}  # job -> tasks that are nowhere, not yet written
 
 
@@ -65,10 +73,13 @@
         lost, or we have just begun to lead. The owner has to send everything."""
         state = self._parts.get(view.part)
         if view.base == 0:
-            state = self._parts[view.part] = PartState(view.node, view.token)
+            same = state is not None and state.token == view.token
+            since = state.since if state is not None and same else now
+            state = self._parts[view.part] = PartState(view.node, view.token, since)
         elif state is None or (state.token, state.seq) != (view.token, view.base):
             return None
         state.seq, state.at, state.leaving = view.seq, now, dict(view.leaving)
+        state.silences = {name: (stood_s, probes) for name, stood_s, probes in view.silences}
         for name in view.gone:
             state.machines.pop(name, None)
         for machine in view.machines:
@@ -103,14 +114,3 @@
         shown = state.machines.get(name)
         lease_s = self._settings.settings.workers.lease_s
         return shown is not None and shown.view.silent_s < lease_s
-
-    def silent_parts(self) -> set[int]:
-        result: set[int] = set()
-        for part, state in self._parts.items():
-            silent = sum(
-                shown.view.silent_s > 2 * self._settings.report_gap_s and not shown.view.notice
-                for shown in state.machines.values()
-            )
-            if silent > max(1, len(state.machines) // 4):
-                result.add(part)
-        return result
--- a/ryegauge/emulator/cloud.py
+++ b/ryegauge/emulator/cloud.py
@@ -12,6 +12,7 @@
 from ryegauge.transport.http import Reply, decode
 
 SNAPSHOT_S = 0.5
+FAILED_S = 30.0  # after which a machine that stopped is listed as failed
 MINIMUM_S = 60.0  # what a returned machine costs at least
 
 
@@ -19,11 +20,13 @@
     def __init__(
         self, fleet: Iterable[FleetType], workers: dict[str, Worker], rng: random.Random,
         rent: Callable[[FleetType, str, bool], str], *, list_lag_s: float = 4.0,
+        returned: Callable[[Worker], None] = lambda _: None,
     ) -> None:
         self._fleet = {type_.name: type_ for type_ in fleet}
         self._workers = workers
         self._rng = rng
         self._rent = rent
+        self._returned = returned
         self._lag_s = list_lag_s
         self.outage = False
         self.hires: dict[str, list[str]] = {}
@@ -38,13 +41,18 @@
         now = trio.current_time()
         listed = [
             {"uid": w.name, "address": w.address, "build": w.type.name, "district": w.zone,
-             "loaners": w.spot, "status": "running" if w.up else "starting",
-             "heldS": now - w.since}
-            for w in self._workers.values() if w.alive
+             "loaners": w.spot, "status": self._status(w, now), "heldS": now - w.since}
+            for w in self._workers.values() if w.alive or w.lost_at is not None
         ]
         kept = [h for h in self._history if h[0] > now - 4 * self._lag_s - SNAPSHOT_S]
         self._history = [*kept, (now, listed)]
 
+    @staticmethod
+    def _status(worker: Worker, now: float) -> str:
+        if worker.lost_at is not None and now - worker.lost_at > FAILED_S:
+            return "failed"
+        return "running" if worker.up else "starting"
+
     def cost(self, now: float) -> float:
         """What all machines have cost so far, at nominal prices."""
         total = 0.0
@@ -68,6 +76,9 @@
         if url.path == "/hosts/release":
             for name in raw["hosts"]:
                 if (worker := self._workers.get(name)) is not None:
+                    if worker.alive or worker.lost_at is not None:
+                        self._returned(worker)
+                    worker.lost_at = None
                     worker.released_busy |= worker.alive and bool(worker.on_machine())
                     worker.die()
             return Reply(200, {})
--- a/ryegauge/emulator/network.py
+++ b/ryegauge/emulator/network.py
@@ -7,7 +7,15 @@
 
 import trio
 
-from ryegauge.transport.http import Handler, Reply, Unreachable, decode, encode
+from ryegauge.transport.http import (
+    Handler,
+    NoAnswer,
+    Refused,
+    Reply,
+    Unreachable,
+    decode,
+    encode,
+)
 from ryegauge.transport.http import answer as respond
 
 
@@ -32,6 +40,7 @@
         self._rng = rng
         self.handlers: dict[str, Handler] = {}
         self.cuts: list[Cut] = []
+        self.gone: set[str] = set()  # hosts without power: connections to them hang
 
     def at(self, host: str) -> "HostNetwork":
         return HostNetwork(self, host)
@@ -50,10 +59,14 @@
         payload = b"" if body is None else encode(body)
         answer: list[Reply] = []
         done = trio.Event()
+        stood = trio.Event()  # once there is a connection
 
         async def deliver() -> None:
             # Goes on when the caller has given up: what was sent may arrive late.
             await self._pass(source, host)
+            if host in self.gone:
+                await trio.sleep_forever()
+            stood.set()
             handler = self.handlers.get(address)
             if handler is None:
                 answer.append(Reply(-1))
@@ -68,8 +81,10 @@
         self.nursery.start_soon(deliver)
         with trio.move_on_after(timeout_s):
             await done.wait()
-        if not answer or answer[0].status == -1:
-            raise Unreachable("no answer" if not answer else "refused")
+        if not answer:
+            raise NoAnswer("no answer") if stood.is_set() else Unreachable("no connection")
+        if answer[0].status == -1:
+            raise Refused("refused")
         reply = answer[0]
         data = None if reply.body is None else decode(encode(reply.body))
         return reply.status, data, reply.retry_after_s
--- /dev/null
+++ b/ryegauge/emulator/versions.py
@@ -0,0 +1,30 @@
+"""Controllers of another version, from a checkout of it, in the emulator of this one."""
+
+import importlib
+import sys
+from pathlib import Path
+from typing import Any
+
+from ryegauge.coordination.node import Node
+
+
+def node_of(checkout: str | Path | None) -> Any:
+    """What runs as a controller there; without a checkout, this version's."""
+    if checkout is None:
+        return Node
+    mine = {name: sys.modules.pop(name) for name in list(sys.modules)
+            if name.split(".")[0] == "ryegauge"}
+    sys.path.insert(0, str(checkout))
+    try:
+        module = importlib.import_module("ryegauge.coordination.node")
+        # What the emulator's network raises and answers with is this version's.
+        for other in [m for n, m in sys.modules.items() if n.split(".")[0] == "ryegauge"]:
+            for name in ("Unreachable", "Malformed", "Reply"):
+                if hasattr(other, name):
+                    setattr(other, name, getattr(mine["ryegauge.transport.http"], name))
+        return module.Node
+    finally:
+        sys.path.remove(str(checkout))
+        for name in [n for n in sys.modules if n.split(".")[0] == "ryegauge"]:
+            del sys.modules[name]
+        sys.modules.update(mine)
--- a/ryegauge/emulator/workers.py
+++ b/ryegauge/emulator/workers.py
@@ -64,6 +64,7 @@
         self.zone, self.spot, self.address = zone, spot, address
         self.since = trio.current_time()
         self.ended_at: float | None = None
+        self.lost_at: float | None = None  # stopped by itself, and not yet returned
         self.alive, self.up, self.faulty = True, False, False
         self.released_busy = False  # returned to the cloud with tasks running on it
         self.session, self.seq, self.token = 1, 0, 0
--- a/ryegauge/emulator/world.py
+++ b/ryegauge/emulator/world.py
@@ -56,7 +56,8 @@
         self.state = state or StateService(page=3)
         self.workers: dict[str, Worker] = {}
         self.cloud = Cloud(
-            fleet, self.workers, self.rng, self._rent, list_lag_s=shared.cloud.list_lag_s
+            fleet, self.workers, self.rng, self._rent, list_lag_s=shared.cloud.list_lag_s,
+            returned=self._returned,
         )
         self._fleet = {type_.name: type_ for type_ in fleet}
         self.checker = Checker(self)
@@ -112,8 +113,22 @@
         name = f"m-{self._machines:06d}"
         self.workers[name] = Worker(self, name, type_, zone, spot, f"{name}:9000")
         self.nursery.start_soon(self.workers[name].run)
+        self.note("rented", machine=name)
         return name
 
+    def _returned(self, worker: Worker) -> None:
+        hung = worker.hung_until > trio.current_time()
+        state = "lost" if not worker.alive else "hung" if hung else "alive"
+        tasks = len(worker.on_machine()) if worker.alive else 0
+        self.note("returned", machine=worker.name, detail=f"{state} {tasks}")
+
+    def lose(self, worker: Worker) -> None:
+        """A machine stops with all that is on it; it says nothing more, not even that."""
+        self.network.gone.add(worker.name)
+        self.note("lost", machine=worker.name, detail=str(len(worker.on_machine())))
+        worker.lost_at = trio.current_time()
+        worker.die()
+
     async def _node(self, n: int) -> None:
         """A controller that is started again whenever it ends."""
         host = self.settings[n].listen.partition(":")[0]
--- a/ryegauge/experiments/day.py
+++ b/ryegauge/experiments/day.py
@@ -66,8 +66,13 @@
 
 class Trouble(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     at_s: Amount
-    kind: Literal["crash_leader", "crash_all", "state_outage", "clock"]
+    kind: Literal[
+        "crash_leader", "crash_all", "state_outage", "clock", "machines_lost", "machines_hang",
+        "machines_restart", "spot_taken", "owner_deaf", "zone_cut",
+    ]
     lasts_s: Amount = 0.0
+    # For `machines_*` and `spot_taken`: of those that are up.
+    part: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     # For `clock`: by how much the controllers' times of day are wrong, at most.
     error_s: Amount = 0.0
 
--- a/ryegauge/protocol/peers.py
+++ b/ryegauge/protocol/peers.py
@@ -36,6 +36,8 @@
     job_class: str
     count: int
     log_ratio_sum: float
+    # Versions before the one that looks at the spread neither send nor read it.
+    log_ratio_squares: float = 0.0
 
 
 class PartView(msgspec.Struct, frozen=True, array_like=True, tag="part"):
@@ -56,6 +58,25 @@
     # (uid, tasks that are on no machine any more, by the owner's book still held by the
     # part). Versions before pipelines neither send nor read it.
     leaving: list[tuple[str, int]] = []
+    # Machines of others that reported to this controller of late and were sent on: (name,
+    # seconds ago). Versions before failure detection neither send nor read it.
+    overheard: list[tuple[str, float]] = []
+    # Of the machines in this view that are silent, since the last word of each: (name,
+    # seconds in which the owner stood still itself, attempts to ask the worker as (by whom,
+    # outcome, seconds ago)).
+    silences: list[tuple[str, float, list[tuple[str, str, float]]]] = []
+
+
+class Probe(msgspec.Struct, frozen=True, array_like=True, tag="probe"):
+    """Ask the workers at these addresses for their reports, and say what became of it.
+    Versions before failure detection answer 400, which says nothing."""
+
+    addresses: list[str]
+
+
+class ProbeAnswer(msgspec.Struct, frozen=True, array_like=True, tag="probed"):
+    node: str
+    outcomes: list[str]  # one for each address; empty: not asked
 
 
 class Poke(msgspec.Struct, frozen=True, array_like=True, tag="poke"):
@@ -76,6 +97,9 @@
     evict: list[tuple[str, str, int]] = []
     # The changes could not be taken in: send everything.
     resync: bool = False
+    # Machines of the part that the cloud lists as running and the owner does not show: (name,
+    # address). It asks them. Versions before failure detection neither send nor read them.
+    unheard: list[tuple[str, str]] = []
 
 
 class Vow(msgspec.Struct, frozen=True, array_like=True, tag="vow"):
@@ -121,6 +145,7 @@
 
 Message = (
     PartView | Poke | PartOrders | Vow | VowAnswer | Hello | HelloAnswer | Relay | RelayAnswer
+    | Probe | ProbeAnswer
 )
 
 
--- a/ryegauge/scheduling/planner.py
+++ b/ryegauge/scheduling/planner.py
@@ -125,6 +125,10 @@
     unplaced: list[tuple[str, int]] = field(default_factory=list)
     # Machines that the plan counts on, starting ones included.
     used: set[str] = field(default_factory=set)
+    # Of the unplaced tasks: those that wait for a busy machine, and for one that boots.
+    wait_busy: int = 0
+    wait_boots: int = 0
+    ahead: int = 0  # machines rented for tasks that are most likely lost
 
 
 def _fit(need: Need, cpus: float, memory_gb: float, gpus: float) -> int:
@@ -370,8 +374,10 @@
     market: Market,
     now: float,
     critical: dict[str, list[Need]] | None = None,
+    missed: Iterable[Need] = (),
 ) -> Plan:
-    """One round, needs in their order of precedence."""
+    """One round, needs in their order of precedence. Of `missed`, tasks on machines that are
+    most likely lost, nothing is placed: what they will need is rented ahead."""
     result = Plan()
     rented: dict[tuple[str, str, bool], int] = {}
     coming = list(starting)
@@ -409,17 +415,28 @@
             # Exception "no type in time": no new machine of any type meets the deadline,
             # so a steady one would be dearer and no earlier.
             spot = market.takeback_share < market.takeback_threshold
+        left = need.count
         if not soon_full.covers(need):
             wait_for_room(need, running, market.patience * boot_s, steady_only=False)
             soon_full.note(need)
+        result.wait_busy += left - need.count
+        left = need.count
         # What is on its way already is rented for someone; room that is left serves.
         if not coming_full.covers(need, steady=not spot):
             put(need, coming, steady_only=not spot)
             coming_full.note(need, steady=not spot)
+        result.wait_boots += left - need.count
         if _rent(need, market, spot, now, coming, rented):
             coming_full.forget()
         if need.count > 0 and need.hold_s > 0:
             hold_room(need, running, need.hold_s)
+    for need in missed:
+        place(need, running, steady_only=False)
+        place(need, coming, steady_only=False)
+        before = sum(rented.values())
+        spot = need.spot_ok and market.takeback_share < market.takeback_threshold
+        _rent(need, market, spot, now, coming, rented)
+        result.ahead += sum(rented.values()) - before
     for need in hold_standbys(critical or {}, running, coming):
         _rent(need, market, True, now, coming, rented)
     result.rentals = [Rental(t, z, s, n) for (t, z, s), n in rented.items()]
--- a/ryegauge/transport/http.py
+++ b/ryegauge/transport/http.py
@@ -25,6 +25,18 @@
     """No usable answer came; whether the request was executed is unknown."""
 
 
+class Refused(Unreachable):
+    """The host answers; nobody listens at the port."""
+
+
+class Reset(Unreachable):
+    """The connection stood and ended without an answer."""
+
+
+class NoAnswer(Unreachable):
+    """The connection stood, and nothing came in time."""
+
+
 class Reply(NamedTuple):
     status: int
     body: Any = None
@@ -220,13 +232,23 @@
         self, method: str, target: str, body: Any = None, *, timeout_s: float
     ) -> tuple[int, Any, float | None]:
         """Returns (status, body, Retry-After). Raises Unreachable."""
+        stood: list[bool] = []  # once there is a connection
         try:
             with trio.fail_after(timeout_s):
                 async with self._slots:
-                    return await self._exchange(method, target, body)
-        except (trio.TooSlowError, trio.BrokenResourceError, trio.ClosedResourceError) as error:
-            raise Unreachable(type(error).__name__) from None
-        except (OSError, h11.RemoteProtocolError, Malformed) as error:
+                    return await self._exchange(method, target, body, stood)
+        except trio.TooSlowError as error:
+            kind = NoAnswer if stood else Unreachable
+            raise kind(type(error).__name__) from None
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as error:
+            raise Reset(type(error).__name__) from None
+        except ConnectionRefusedError as error:
+            raise Refused(str(error)) from None
+        except ConnectionResetError as error:
+            raise Reset(str(error)) from None
+        except h11.RemoteProtocolError as error:
+            raise Reset(str(error)) from None
+        except (OSError, Malformed) as error:
             raise Unreachable(str(error)) from None
 
     def close(self) -> None:
@@ -235,7 +257,7 @@
             self._idle.popleft()[0].socket.close()
 
     async def _exchange(
-        self, method: str, target: str, body: Any
+        self, method: str, target: str, body: Any, stood: list[bool]
     ) -> tuple[int, Any, float | None]:
         payload = b"" if body is None else encode(body)
         while self._idle and self._idle[0][2] < trio.current_time():
@@ -252,6 +274,7 @@
                 sock.close()
                 raise
             stream, conn = trio.SocketStream(sock), h11.Connection(h11.CLIENT)
+        stood.append(True)
         keep = False
         try:
             request = h11.Request(
--- /dev/null
+++ b/tests/test_detection.py
@@ -0,0 +1,164 @@
+"""What is made of silent machines: against a slow plain model that knows the truth, and the
+steps that follow, up to a release."""
+
+import itertools
+import math
+from collections import Counter
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from ryegauge.detection.hearing import Attention, Hearing, Overheard
+from ryegauge.detection.verdicts import (
+    Cause,
+    Evidence,
+    Grade,
+    Limits,
+    Outcome,
+    Probe,
+    cut_zones,
+    judge,
+)
+
+LIMITS = Limits(gap_s=3.0, lease_s=14.0)
+NEVER = math.inf
+
+TRUTHS = ("dead", "cut_off", "hung", "taken", "owner_deaf", "owner_stood_still", "zone_cut")
+ENDED = {"dead", "taken"}
+# What may be said of a machine, by what is true of it; the first that applies.
+EXPLAINED = [
+    ("owner_stood_still", {Cause.OWNER_STOOD_STILL}),
+    ("zone_cut", {Cause.ZONE_CUT, Cause.TAKEN}),
+    ("taken", {Cause.TAKEN}),
+    ("cut_off", {Cause.DEAD_OR_CUT}),
+    ("dead", {Cause.DEAD_OR_CUT}),
+    ("hung", {Cause.HUNG}),
+    ("owner_deaf", {Cause.OWNER_DEAF}),
+]
+
+
+def evidence_of(truth: frozenset[str], after_s: float, helpers: bool = True) -> Evidence:
+    """The slow plain model: what each controller would see of a machine `after_s` seconds
+    after all that is true began, asking it and each other without any limit."""
+    stood = after_s - 1.0 if "owner_stood_still" in truth else 0.0
+    gone = truth & {"dead", "cut_off", "taken", "zone_cut"}
+
+    def asked(by_owner: bool) -> Outcome:
+        if gone or (by_owner and "owner_deaf" in truth):
+            return Outcome.NO_CONNECTION
+        return Outcome.NO_ANSWER if "hung" in truth else Outcome.ANSWERED
+
+    probes = []
+    listened = after_s - stood
+    if listened > 2 * LIMITS.gap_s:
+        probes = [Probe("owner", asked(True), 0.0)]
+        if helpers:
+            probes.append(Probe("helper", asked(False), 0.0))
+    # A live worker whose owner does not answer tries the next controller in five seconds.
+    heard = "owner_deaf" in truth and not gone and "hung" not in truth and helpers
+    return Evidence(
+        silent_s=listened, waited_s=after_s, elsewhere_s=1.0 if heard else NEVER,
+        probes=probes, notice="taken" in truth, stood_still_s=stood,
+        heard_share=0.0 if truth & {"owner_deaf", "zone_cut"} else 0.9,
+        zone_cut="zone_cut" in truth,
+    )
+
+
+def pairs() -> list[frozenset[str]]:
+    return [frozenset(p) for n in (1, 2) for p in itertools.combinations(TRUTHS, n)]
+
+
+@pytest.mark.parametrize("helpers", [True, False])
+def test_causes_alone_and_in_pairs_are_named(helpers: bool) -> None:
+    """docs/experiments/recovery.md shows this table. Alone an owner cannot tell the dead from
+    its own deafness, and says so."""
+    table = Counter[str]()
+    for truth in pairs():
+        cause = judge(evidence_of(truth, 11.0, helpers), LIMITS).cause
+        allowed = next(causes for name, causes in EXPLAINED if name in truth)
+        undecided = cause in (Cause.UNDECIDED, Cause.NONE)
+        table["right" if cause in allowed else "undecided" if undecided else "wrong"] += 1
+    assert table["wrong"] == 0
+    assert table["undecided"] == (0 if helpers else 9)
+    assert sum(table.values()) == 28
+
+
+@pytest.mark.parametrize("truth", pairs())
+def test_nothing_is_called_lost_that_somebody_hears(truth: frozenset[str]) -> None:
+    for after_s in range(1, 14):
+        grade = judge(evidence_of(truth, float(after_s)), LIMITS).grade
+        if not truth & {"dead", "cut_off", "taken"}:
+            assert grade < Grade.LOST, (after_s, truth)
+        if truth <= ENDED | {"owner_deaf"} and truth & ENDED and after_s > 9:
+            assert grade == Grade.LOST, (after_s, truth)
+
+
+outcomes = st.lists(st.tuples(st.sampled_from("abc"), st.sampled_from(Outcome)), max_size=4)
+evidence = st.builds(
+    lambda silent, stood, elsewhere, probes, notice, share, cut: Evidence(
+        silent, silent + stood, elsewhere, tuple(Probe(*p, 0.0) for p in probes), notice, stood,
+        share, cut,
+    ),
+    st.floats(0, 60), st.floats(0, 30), st.sampled_from([1.0, 8.0, 10.0, 40.0, NEVER]),
+    outcomes, st.booleans(), st.floats(0, 1), st.booleans(),
+)
+SIGNS_OF_LIFE = [Outcome.ANSWERED, Outcome.NO_ANSWER, Outcome.REFUSED, Outcome.RESET]
+
+
+@given(evidence, st.sampled_from(SIGNS_OF_LIFE))
+def test_a_sign_of_life_never_raises_the_grade(seen: Evidence, sign: Outcome) -> None:
+    before = judge(seen, LIMITS).grade
+    more = seen._replace(probes=(*seen.probes, Probe("d", sign, 0.0)))
+    assert judge(more, LIMITS).grade <= before
+    assert judge(seen._replace(elsewhere_s=0.0), LIMITS).grade <= before
+
+
+@given(evidence, st.floats(0, 20))
+def test_longer_silence_never_lowers_the_grade(seen: Evidence, more_s: float) -> None:
+    later = seen._replace(silent_s=seen.silent_s + more_s, waited_s=seen.waited_s + more_s)
+    assert judge(later, LIMITS).grade >= judge(seen, LIMITS).grade
+
+
+@given(evidence)
+def test_one_deaf_owner_cannot_call_a_machine_lost(seen: Evidence) -> None:
+    """It hears few of its machines and nobody else has tried: until the lease has surely run
+    out there is no release on its word, unless the cloud itself gave notice."""
+    alone = seen._replace(
+        probes=tuple(p for p in seen.probes if p.by == "a"), heard_share=0.5, notice=False
+    )
+    if alone.waited_s <= LIMITS.lease_s:
+        assert judge(alone, LIMITS).grade < Grade.LOST
+
+
+def test_zones_are_cut_only_if_another_is_heard() -> None:
+    assert cut_zones({"a": (0, 40), "b": (90, 100)}) == {"a"}
+    assert cut_zones({"a": (0, 40), "b": (50, 100)}) == set()  # half of b: who is cut off?
+    assert cut_zones({"a": (0, 40)}) == set()
+    assert cut_zones({"a": (0, 3), "b": (10, 10)}) == set()  # too few to say
+
+
+def test_a_listener_that_stood_still_has_not_listened() -> None:
+    """Found by simulated days with frozen controllers: all machines looked silent at once
+    when it went on, with their reports waiting in its sockets."""
+    attention = Attention(2.5, 0.0)
+    hearing = Hearing(attention)
+    hearing.heard("m-1", 1.0)
+    for at in (2.0, 3.0, 23.0):
+        attention.look(at)
+    assert hearing.silent_s("m-1", 23.0) == 4.5
+    assert attention.stood_still_s(1.0) == 17.5
+    assert attention.stood_still_s(23.0) == 0.0
+    assert hearing.silent_s("m-2", 23.0) == NEVER
+
+
+def test_what_was_overheard_is_told_once_and_fades() -> None:
+    overheard = Overheard(28.0)
+    overheard.heard("m-1", 1.0)
+    overheard.heard("m-2", 2.0)
+    overheard.heard("m-1", 5.0)
+    assert overheard.since(2.0, 6.0, 10) == [("m-1", 1.0)]
+    assert overheard.since(0.0, 6.0, 10) == [("m-1", 1.0), ("m-2", 4.0)]
+    assert overheard.since(0.0, 6.0, 1) == [("m-1", 1.0)]
+    overheard.heard("m-3", 31.0)
+    assert overheard.since(0.0, 31.0, 10) == [("m-3", 0.0), ("m-1", 26.0)]
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -17,6 +17,7 @@
 from ryegauge.bookkeeping.state import Event
 from ryegauge.config import NextState, Settings
 from ryegauge.coordination.part import PartOwner
+from ryegauge.detection.verdicts import Outcome, Probe
 from ryegauge.protocol.cloud import MachineType
 from ryegauge.protocol.jobs import parse_job
 from ryegauge.protocol.workers import Command, Forget, Kill, Report, Run, TaskReport
@@ -161,6 +162,30 @@
     assert part.owner.tasks[(UID, 0)].machine == "m-2"
 
 
+def test_silent_machines_are_asked_and_what_came_of_it_is_shown(part: Part) -> None:
+    """By its owner and by others; a report that came meanwhile says more."""
+    attempt = part.start(0)
+    part.report((0, attempt, "running"))
+    for _ in range(3):
+        part.tick(1.0)
+    assert part.owner.to_probe(part.now) == [("m-1", "m:1")]
+    part.owner.unheard([("m-7", "m:7"), ("m-1", "m:1")])
+    assert part.owner.to_probe(part.now) == [("m-1", "m:1"), ("m-7", "m:7")]
+    for by in ("node-0", "node-1"):
+        part.owner.probed("m-1", Probe(by, Outcome.NO_CONNECTION, part.now))
+        part.owner.probed("m-7", Probe(by, Outcome.REFUSED, part.now))
+    assert part.owner.to_probe(part.now) == []
+    view = part.owner.view("node-0", 9, part.now)
+    asked = {name: {outcome for _, outcome, _ in probes} for name, _, probes in view.silences}
+    assert asked == {"m-1": {"no_connection"}, "m-7": {"refused"}}
+    part.tick(1.0)
+    part.report((0, attempt, "running"))
+    part.owner.probed("m-1", Probe("node-2", Outcome.NO_CONNECTION, part.now - 0.5))
+    part.report(machine="m-7", seq=1)
+    part.owner.unheard([])
+    assert part.owner.view("node-0", 9, part.now).silences == []
+
+
 def test_a_release_frees_the_tasks_at_once(part: Part) -> None:
     attempt = part.start(0)
     part.report((0, attempt, "running"))
