Deaf owners give their part up; aged work yields to bursts of urgent work

Change: (1) whoever overhears a worker tells its owner; an owner that hears at most a tenth of its machines while others hear a quarter of them gives the part up, marked in its record so that it does not take it back before it hears again. Workers that have seen the owner's token are not sent back to it (421 without a name). (2) while urgent work waits that takes the largest share for aged work or more, each due task is passed over for at most one more patience; bounds and plain model restated.

--- a/ryegauge/bookkeeping/jobbook.py
+++ b/ryegauge/bookkeeping/jobbook.py
@@ -297,6 +297,7 @@
         self._pieces: dict[str, dict[str, dict[int, list[str]]]] = {}
         self.epoch = 0  # counts full reads: after one, all jobs are new objects
         self.nodes: dict[str, str] = {}  # live controllers and their incarnation
+        self.deaf: dict[str, frozenset[int]] = {}  # of these: parts whose workers it can't hear
         self.parts: dict[int, Owner] = {}
         self.leader: Owner | None = None
         self.types: dict[str, Any] = {}
@@ -306,6 +307,7 @@
         """Starts over from a full read."""
         before = list(self.jobs)
         self.jobs, self.live, self.nodes, self.parts, self.types = {}, {}, {}, {}, {}
+        self.deaf = {}
         self.waiting, self.dependents, self.outcomes, self._pieces = {}, {}, {}, {}
         self.lost, self.orphans = set(), set()
         self.debts = {}
@@ -500,8 +502,10 @@
             case ["r", "n", node]:
                 if value is None:
                     self.nodes.pop(node, None)
+                    self.deaf.pop(node, None)
                 else:
                     self.nodes[node] = value["i"]
+                    self.deaf[node] = frozenset(value.get("d", ()))
             case ["r", "c", name]:
                 if value is None:
                     self.types.pop(name, None)
--- a/ryegauge/coordination/mesh.py
+++ b/ryegauge/coordination/mesh.py
@@ -11,6 +11,7 @@
 from ryegauge.coordination.desk import Desk
 from ryegauge.coordination.frontdoor import FrontDoor
 from ryegauge.protocol.peers import (
+    Elsewhere,
     Hello,
     HelloAnswer,
     Message,
@@ -69,6 +70,10 @@
             return None
         return answer if status == 200 else None
 
+    async def tell(self, name: str, message: Message) -> None:
+        """A hint: whether it arrives does not matter."""
+        await self._send(self.peers[name], to_wire(message))
+
     async def ask(self, client: Caller, message: Message, timeout_s: float = 0.0) -> object:
         answer = await self._send(client, to_wire(message), timeout_s)
         if answer is None:
@@ -195,6 +200,12 @@
                 return Reply(200, to_wire(HelloAnswer(self._desk.settings.node_name)))
             case Relay():
                 return await self._carry(message)
+            case Elsewhere(machines=machines):
+                now = trio.current_time()
+                for name, part, ago_s in machines:
+                    if (owner := self._desk.owned.get(part)) is not None:
+                        owner.heard_elsewhere(name, now - ago_s)
+                return Reply(200, ["ok"])
             case Probe(addresses=addresses) if self.on_probe is not None:
                 outcomes = await self.on_probe(addresses)
                 return Reply(200, to_wire(ProbeAnswer(self._desk.settings.node_name, outcomes)))
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -19,7 +19,7 @@
 from ryegauge.coordination.parting import Parting
 from ryegauge.coordination.probing import Probing
 from ryegauge.protocol.cloud import MachineType, parse
-from ryegauge.protocol.peers import PartOrders
+from ryegauge.protocol.peers import Elsewhere, PartOrders
 from ryegauge.protocol.workers import parse_report, report_reply
 from ryegauge.transport.http import Handler, Network, Reply, decode
 
@@ -64,6 +64,7 @@
             self._outcomes.write,
             self._report_parts,
             self._hand_over,
+            self._listen,
             self._probing.run,
             self._mesh.greet,
             self._mesh.ask_vows,
@@ -166,7 +167,10 @@
                     continue
                 # What we overheard goes along once, with whichever part comes first.
                 overheard = self._desk.overheard.since(self._told_overheard, now, MOST_OVERHEARD)
-                view = owner.view(self._desk.settings.node_name, leader.token, now, overheard)
+                view = owner.view(
+                    self._desk.settings.node_name, leader.token, now,
+                    [(name, ago_s) for name, _, ago_s in overheard],
+                )
                 orders: object = None
                 if leader.node == self._desk.settings.node_name:
                     if self._desk.leader is not None:
@@ -193,12 +197,43 @@
                 owner = self._desk.owned.get(part)
                 if owner is None or owner.leaving:
                     continue  # what is over is written first
-                log.info("handing part %d over", part)
-                del self._desk.owned[part]
-                try:
-                    await self._desk.term.give_back(part, token)
-                except RETRY as error:
-                    log.info("handing part %d over: %s", part, error)
+                await self._give_back(part, token)
+
+    async def _give_back(self, part: int, token: int) -> None:
+        log.info("handing part %d over", part)
+        del self._desk.owned[part]
+        try:
+            await self._desk.term.give_back(part, token)
+        except RETRY as error:
+            log.info("handing part %d over: %s", part, error)
+
+    async def _listen(self) -> None:
+        """Tells owners of their workers that report here, and gives up a part whose workers
+        report to others and not to us: their leases would run out between them and us."""
+        told = trio.current_time()
+        while True:
+            await trio.sleep(self._desk.report_s / 5)
+            now = trio.current_time()
+            by_node: dict[str, list[tuple[str, int, float]]] = {}
+            for entry in self._desk.overheard.since(told, now, MOST_OVERHEARD):
+                owner_of = self._desk.book.parts.get(entry[1])
+                if owner_of is not None and owner_of.node in self._mesh.peers:
+                    by_node.setdefault(owner_of.node, []).append(entry)
+            told = now
+            async with trio.open_nursery() as nursery:
+                for node, entries in by_node.items():
+                    message = Elsewhere(self._desk.settings.node_name, entries)
+                    nursery.start_soon(self._mesh.tell, node, message)
+            for part, owner in list(self._desk.owned.items()):
+                if (
+                    self._desk.term.valid(now)
+                    and owner.deaf(now)
+                    and self._desk.term.cannot_hear(part, now)
+                ):
+                    log.warning("part %d: its workers report to others and not here", part)
+                    self._probing.remember(part, owner)
+                    # What is over and not written stays in the workers' reports.
+                    await self._give_back(part, owner.token)
 
     async def _handle_worker(self, body: bytes) -> Reply:
         report = parse_report(decode(body))
@@ -206,9 +241,14 @@
         part = self._parting.part_of(report.machine, report.zone)
         owner = self._desk.owned.get(part)
         if owner is None:
-            self._desk.overheard.heard(report.machine, now)
+            self._desk.overheard.heard(report.machine, part, now)
+            self._desk.term.hears(part, now)
             other = self._desk.book.parts.get(part)
-            if other is not None and other.node != self._desk.settings.node_name:
+            # A worker that has seen the owner's token was answered by it and has left it since:
+            # sent back, it would wait there for an answer again while its lease runs out. It
+            # tries the other controllers in turn, and finds whoever takes the part over.
+            left = other is not None and report.token >= other.token
+            if other is not None and not left and other.node != self._desk.settings.node_name:
                 return Reply(421, {"foreman": other.node})
             return Reply(421, {})
         if not self._desk.term.valid(now):
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -18,7 +18,7 @@
 from ryegauge.coordination.held import Machine, Phase, Task
 from ryegauge.coordination.needs import make_need, task_sizes
 from ryegauge.coordination.showing import Showing, Signature
-from ryegauge.detection.hearing import Attention, Hearing
+from ryegauge.detection.hearing import Attention, Hearing, is_deaf
 from ryegauge.detection.verdicts import SUSPECT_GAPS, Probe
 from ryegauge.protocol.cloud import MachineType
 from ryegauge.protocol.peers import MachineView, PartView, RunSample
@@ -69,6 +69,7 @@
         # Machines of ours that have never reported here or were given up: name -> (address,
         # attempts to ask them).
         self._unheard: dict[str, tuple[str, list[Probe]]] = {}
+        self._elsewhere: dict[str, float] = {}  # machine of ours -> when others last heard it
         self._hearing = Hearing(Attention(settings.settings.workers.report_s, now))
         self._stamps: dict[str, tuple[float, float]] = {}  # of machines given up
         self.tasks: dict[TaskKey, Task] = {}
@@ -368,6 +369,20 @@
 
     # -- silence ------------------------------------------------------------------------
 
+    def heard_elsewhere(self, name: str, at: float) -> None:
+        self._elsewhere.pop(name, None)
+        self._elsewhere[name] = at
+        if len(self._elsewhere) > REMEMBERED:
+            del self._elsewhere[next(iter(self._elsewhere))]
+
+    def deaf(self, now: float) -> bool:
+        """Whether others hear our machines and we do not, though we listened."""
+        gap_s = self._settings.report_gap_s
+        if not self._elsewhere or self._hearing.attention.stood_still_s(now - 3 * gap_s):
+            return False
+        heard_at = {m.name: m.heard_at for m in self.machines.values()}
+        return is_deaf(heard_at, self._elsewhere, gap_s, now)
+
     def unheard(self, machines: Iterable[tuple[str, str]]) -> None:
         """What the leader has listed in our part and we have not shown: (name, address)."""
         known = self._unheard
--- a/ryegauge/coordination/parting.py
+++ b/ryegauge/coordination/parting.py
@@ -24,13 +24,14 @@
         return parts[zlib.crc32(machine.encode()) % len(parts)]
 
 
-def wanted_owner(part: int, names: list[str], live: Collection[str]) -> str | None:
-    """The part's home if it lives, else the live controllers in turn."""
-    for step in range(len(names)):
-        name = names[(part + step) % len(names)]
-        if name in live:
-            return name
-    return None
+def wanted_owner(
+    part: int, names: list[str], live: Collection[str], deaf: Collection[str] = ()
+) -> str | None:
+    """The part's home if it lives, else the live controllers in turn; those that do not hear
+    the part's workers only if all that live do not."""
+    turns = [names[(part + step) % len(names)] for step in range(len(names))]
+    alive = [name for name in turns if name in live]
+    return next((name for name in alive if name not in deaf), alive[0] if alive else None)
 
 
 def wanted_leader(names: list[str], live: Collection[str]) -> str | None:
--- a/ryegauge/coordination/probing.py
+++ b/ryegauge/coordination/probing.py
@@ -31,6 +31,7 @@
         self._most = max(2, sockets // SOCKETS_SHARE)
         self._slots = trio.CapacityLimiter(self._most)
         self._turn = 0
+        self._former: dict[int, list[str]] = {}  # addresses in parts that we could not hear
         mesh.on_probe = self.ask_all
 
     async def run(self) -> None:
@@ -40,10 +41,20 @@
             now = trio.current_time()
             if not self._desk.term.valid(now):
                 continue
+            for part in list(self._desk.term.deaf_parts):
+                former = self._former.get(part, [])
+                self._turn += 1
+                some = [former[(self._turn + n) % len(former)] for n in range(HELPERS) if former]
+                if Outcome.ANSWERED in await self.ask_all(some):
+                    self._desk.term.hears(part, now)
             for owner in list(self._desk.owned.values()):
                 if silent := owner.to_probe(now)[: self._most]:
                     await self._probe(owner, silent, now)
 
+    def remember(self, part: int, owner: PartOwner) -> None:
+        """Workers to be asked, after the part was given up, whether we hear them again."""
+        self._former[part] = [m.address for m in owner.machines.values() if m.address]
+
     async def _probe(
         self, owner: PartOwner, silent: Sequence[tuple[str, str]], now: float
     ) -> None:
--- a/ryegauge/coordination/terms.py
+++ b/ryegauge/coordination/terms.py
@@ -63,6 +63,8 @@
         self._vowed_until: dict[str, float] = {}  # what we vowed ourselves
         # Vows that a predecessor of this process gave have run out by then.
         self._quiet_until = trio.current_time() + self._ttl_s
+        # Parts whose workers we do not hear while others do, and since when.
+        self._deaf: dict[int, float] = {}
         self._unwelcomed = {n for n in self._names if n != self._name}
 
     def valid(self, now: float) -> bool:
@@ -127,6 +129,34 @@
             return False
         return not self._unwelcomed or now > self._quiet_until
 
+    # -- deafness -------------------------------------------------------------------
+
+    @property
+    def deaf_parts(self) -> dict[int, float]:
+        return self._deaf
+
+    def cannot_hear(self, part: int, now: float) -> bool:
+        """Others hear the part's workers and we do not; whether to give the part up. Not
+        again within a lease: if nobody else took it, we had it back."""
+        least_s = self._settings.settings.workers.lease_s
+        if now - self._deaf.get(part, float("-inf")) < least_s:
+            return False
+        self._deaf[part] = now
+        self._enrolled = False
+        return self._wanted(part, set(self._book.nodes)) not in (self._name, None)
+
+    def hears(self, part: int, now: float) -> None:
+        """Its workers reach us, or we them. Not at once, so that roles do not flap."""
+        least_s = self._settings.settings.workers.lease_s
+        if now - self._deaf.get(part, now) >= least_s:
+            del self._deaf[part]
+            self._enrolled = False
+
+    def _wanted(self, part: int, live: set[str]) -> str | None:
+        deaf = {name for name, parts in self._book.deaf.items() if part in parts}
+        deaf = (deaf - {self._name}) | ({self._name} if part in self._deaf else set())
+        return wanted_owner(part, self._names, live, deaf)
+
     def token_of(self, part: int) -> int | None:
         """The token under which this controller owns the part, by the book."""
         owner = self._book.parts.get(part)
@@ -190,7 +220,7 @@
         for part in range(self._parts):
             owner = self._book.parts.get(part)
             if owner is None:
-                if may_claim and wanted_owner(part, self._names, live) == self._name:
+                if may_claim and self._wanted(part, live) == self._name:
                     claims[part_key(part)] = 0
             elif owner.node == self._name and self.token_of(part) is None:
                 # Our predecessor's, as its own record proves: it has ended, since
@@ -210,7 +240,7 @@
         record = {"o": self._name, "i": self.incarnation}
         changes: list[Put | Delete] = [Put(key, record, self._lease) for key in claims]
         if not self._enrolled:
-            changes.append(Put(f"r/n/{self._name}", {"i": self.incarnation}, self._lease))
+            changes.append(Put(f"r/n/{self._name}", self._record(), self._lease))
         # Each role is guarded by itself, so they can be taken in several transactions.
         limit = self._settings.state_limits.txn_ops
         for first in range(0, len(changes), limit):
@@ -224,6 +254,11 @@
             log.info("took %s", ", ".join(claims))
         await self._syncer.fresh()
 
+    def _record(self) -> dict[str, object]:
+        if not self._deaf:
+            return {"i": self.incarnation}
+        return {"i": self.incarnation, "d": sorted(self._deaf)}
+
     async def renew_leader(self, token: int) -> None:
         """Writes the leader's record anew: transactions guarded by the old version
         that are still on their way fail from then on."""
@@ -240,7 +275,7 @@
         result: list[tuple[int, int]] = []
         for part in range(self._parts):
             token = self.token_of(part)
-            wanted = wanted_owner(part, self._names, self._book.nodes)
+            wanted = self._wanted(part, set(self._book.nodes))
             if token is not None and wanted is not None and wanted != self._name:
                 result.append((part, token))
         return result
@@ -249,7 +284,11 @@
         """The caller has stopped commanding the part, and this token is not used again
         whatever becomes of the request."""
         self._given_back.add((part, token))
+        changes: list[Put | Delete] = [Delete(part_key(part))]
+        if part in self._deaf and self._lease is not None:
+            # Together, so that the others know who is not to take it.
+            changes.append(Put(f"r/n/{self._name}", self._record(), self._lease))
         await self._state.commit(
-            {part_key(part): token}, [Delete(part_key(part))], timeout_s=self._ttl_s / 6
+            {part_key(part): token}, changes, timeout_s=self._ttl_s / 6, reserve=URGENT
         )
         self._syncer.poke()
--- a/ryegauge/detection/hearing.py
+++ b/ryegauge/detection/hearing.py
@@ -7,6 +7,7 @@
 """
 
 import math
+from collections.abc import Mapping
 
 
 class Attention:
@@ -59,20 +60,44 @@
 
     def __init__(self, keep_s: float) -> None:
         self._keep_s = keep_s
-        self._at: dict[str, float] = {}  # the latest last
+        self._at: dict[str, tuple[float, int]] = {}  # machine -> (when, its part)
 
-    def heard(self, machine: str, now: float) -> None:
+    def heard(self, machine: str, part: int, now: float) -> None:
         self._at.pop(machine, None)
-        self._at[machine] = now
-        while self._at and next(iter(self._at.values())) < now - self._keep_s:
+        self._at[machine] = (now, part)  # the latest is last
+        while self._at and next(iter(self._at.values()))[0] < now - self._keep_s:
             del self._at[next(iter(self._at))]
 
-    def since(self, at: float, now: float, most: int) -> list[tuple[str, float]]:
-        """(machine, seconds ago) of those heard after `at`, the latest `most` of them."""
-        result: list[tuple[str, float]] = []
+    def since(self, at: float, now: float, most: int) -> list[tuple[str, int, float]]:
+        """(machine, part, seconds ago) of those heard after `at`, the latest `most`."""
+        result: list[tuple[str, int, float]] = []
         for machine in reversed(self._at):
-            heard_at = self._at[machine]
+            heard_at, part = self._at[machine]
             if heard_at <= at or len(result) >= most:
                 break
-            result.append((machine, now - heard_at))
+            result.append((machine, part, now - heard_at))
         return result
+
+
+# An owner is deaf that heard at most this share of its machines within a report, ...
+HEARS_LEAST = 0.1
+# ... while others heard at least this share of them, and at least so many, since it did.
+DEAF_SHARE = 0.25
+DEAF_LEAST = 3
+
+
+def is_deaf(heard_at: Mapping[str, float], elsewhere: Mapping[str, float], gap_s: float,
+            now: float) -> bool:
+    """Whether an owner does not hear workers that others hear, by when it heard each of its
+    machines and when others did. Machines that it never heard count as well: it may have
+    taken the part over without being able to hear it."""
+    others = {
+        name for name, at in elsewhere.items()
+        if now - at <= 2 * gap_s and at > heard_at.get(name, -math.inf)
+    }
+    everybody = len(others | heard_at.keys())
+    heard = sum(now - at <= gap_s for at in heard_at.values())
+    return (
+        len(others) >= max(DEAF_LEAST, DEAF_SHARE * everybody)
+        and heard <= HEARS_LEAST * everybody
+    )
--- a/ryegauge/ordering/ageing.py
+++ b/ryegauge/ordering/ageing.py
@@ -10,7 +10,8 @@
 reserved share of the fleet; that share grows from the floor to the ceiling while the first
 of them waits for another patience. Due tasks of the highest rank that waits keep their place
 in this order, and are not counted: nobody above them could be crowded out. Everything else
-goes strictly by rank.
+goes strictly by rank. While a burst of urgent work waits, as much as the largest share or more,
+other aged work yields, each task for at most one more patience after its tag.
 
 All of it follows from the job book and the time of day: no record, no memory. A task that
 was stopped lowers n again, so its tag is what it was; what is done stays counted. The
@@ -123,11 +124,11 @@
     ) -> list[Entry]:
         # Urgent work in a flood comes to be due as well. Counted, it would use the share up
         # before older work, although it has all of the fleet besides.
-        top = min(
-            (j.rank for j in waiting if j.team in spare and spare[j.team].fits(j, _unit(j))),
-            default=0,
-        )
-        first = self._aged_first(waiting, holding, spare, now, top)
+        able = [j for j in waiting if j.team in spare and spare[j.team].fits(j, _unit(j))]
+        top = min((j.rank for j in able), default=0)
+        urgent = sum(j.weight * j.open for j in able if j.rank <= URGENT)
+        burst = top <= URGENT and urgent >= self._ceiling
+        first = self._aged_first(waiting, holding, spare, now, top, burst)
         turns = [
             Entry(job.uid, count, self._hold_left_s(job, now) if job.rank > top else 0.0)
             for job, count in first.values()
@@ -141,7 +142,7 @@
 
     def _aged_first(
         self, waiting: Sequence[Waiting], holding: Sequence[Holding],
-        spare: dict[str, Spare], now: float, top: int,
+        spare: dict[str, Spare], now: float, top: int, burst: bool = False,
     ) -> dict[str, tuple[Waiting, int]]:
         """Tasks that go before everything else, by job, in the order of their tags."""
         heap = [
@@ -159,6 +160,8 @@
         used, i = 0.0, 0
         while heap:
             tag, uid, job = heapq.heappop(heap)
+            if burst and job.rank > top and now - tag < self.patience_s(job.rank):
+                continue  # so are its later tasks
             count = _unit(job)
             room = left.get(job.team)
             if room is None or not room.fits(job, count):
--- a/ryegauge/protocol/peers.py
+++ b/ryegauge/protocol/peers.py
@@ -79,6 +79,14 @@
     outcomes: list[str]  # one for each address; empty: not asked
 
 
+class Elsewhere(msgspec.Struct, frozen=True, array_like=True, tag="elsewhere"):
+    """Workers of your parts reported here: (machine, part, seconds ago). Versions before
+    failure detection answer 400."""
+
+    node: str
+    machines: list[tuple[str, int, float]]
+
+
 class Poke(msgspec.Struct, frozen=True, array_like=True, tag="poke"):
     """Something was written up to this revision; read it soon."""
 
@@ -145,7 +153,7 @@
 
 Message = (
     PartView | Poke | PartOrders | Vow | VowAnswer | Hello | HelloAnswer | Relay | RelayAnswer
-    | Probe | ProbeAnswer
+    | Probe | ProbeAnswer | Elsewhere
 )
 
 
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -486,6 +486,27 @@
     assert lost_sessions(world) == 0
 
 
+def test_a_deaf_owner_gives_its_part_up(tmp_path: Path) -> None:
+    """Found by days on which a controller lost the workers alone: it kept its part, peers sent
+    its workers back to it, and all their leases ran out."""
+
+    async def deaf(world: World) -> None:
+        await trio.sleep(40.0)
+        with world.cut({"10.0.0.2"}, set(world.workers), hold=False):
+            await trio.sleep(25.0)
+
+    jobs = [{"pieces": 8, "delay": 1.0, "really": 80.0, "cpus": 4.0}]
+    controllers = []
+    for settings in some_controllers(tmp_path, 3, "a"):
+        workers = msgspec.structs.replace(settings.settings.workers, lease_s=14.0, cancel_s=40.0)
+        controllers.append(msgspec.structs.replace(
+            settings, settings=msgspec.structs.replace(settings.settings, workers=workers)))
+    world = play(controllers, 3, jobs, deaf, 150.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    assert lost_sessions(world) == 0
+
+
 # -- the checker itself ------------------------------------------------------------------
 
 
