--- a/ryegauge/emulator/network.py
+++ b/ryegauge/emulator/network.py
@@ -2,6 +2,8 @@
 before the colon of their address."""
 
 import random
+import time
+from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -18,6 +20,25 @@
 )
 from ryegauge.transport.http import answer as respond
 
+# On whose processor a task of the simulation runs.
+HOST: ContextVar[str] = ContextVar("host", default="")
+
+
+class Processors(trio.abc.Instrument):
+    """Real processor seconds that the code of each host has taken."""
+
+    def __init__(self) -> None:
+        self.seconds: dict[str, float] = {}
+        self._began = 0.0
+
+    def before_task_step(self, task: trio.lowlevel.Task) -> None:
+        self._began = time.process_time()
+
+    def after_task_step(self, task: trio.lowlevel.Task) -> None:
+        host = task.context.get(HOST, "")
+        took = time.process_time() - self._began
+        self.seconds[host] = self.seconds.get(host, 0.0) + took
+
 
 @dataclass
 class Cut:
@@ -67,12 +88,14 @@
             if host in self.gone:
                 await trio.sleep_forever()
             stood.set()
+            HOST.set(host)
             handler = self.handlers.get(address)
             if handler is None:
                 answer.append(Reply(-1))
                 done.set()
                 return
             reply = await respond(handler, method, target, payload)
+            HOST.set(source)
             await self._pass(host, source)
             answer.append(reply)
             done.set()
--- a/ryegauge/emulator/world.py
+++ b/ryegauge/emulator/world.py
@@ -15,7 +15,7 @@
 from ryegauge.coordination.node import Node
 from ryegauge.emulator.cloud import Cloud
 from ryegauge.emulator.fleet import SMALL_FLEET, FleetType
-from ryegauge.emulator.network import Cut, SimulatedNetwork
+from ryegauge.emulator.network import HOST, Cut, SimulatedNetwork
 from ryegauge.emulator.rules import Checker
 from ryegauge.emulator.state import StateService
 from ryegauge.emulator.workers import Worker
@@ -132,6 +132,7 @@
     async def _node(self, n: int) -> None:
         """A controller that is started again whenever it ends."""
         host = self.settings[n].listen.partition(":")[0]
+        HOST.set(host)
         while True:
             self._restarts += 1
             rng = random.Random(f"{n}-{self._restarts}")
--- a/ryegauge/experiments/play.py
+++ b/ryegauge/experiments/play.py
@@ -87,7 +87,7 @@
     day: Day, ordering: str, seed: int, size: float = 1.0, backlog: bool = True,
     program: Program = Node, watch: Callable[[World], None] | None = None,
 ) -> Played:
-    """`program` is what runs as a controller; `watch` looks at the world every second."""
+    """`program` is what runs as a controller; `watch` looks at the world twice a second."""
     worlds: list[World] = []
     inst = day.installation
 
@@ -97,7 +97,7 @@
                 nursery.start_soon(_trouble, world, trouble)
             while watch is not None:
                 watch(world)
-                await trio.sleep(1.0)
+                await trio.sleep(0.5)
 
     async def main() -> None:
         state = StateService(
--- a/ryegauge/experiments/recovery.py
+++ b/ryegauge/experiments/recovery.py
@@ -2,9 +2,11 @@
 
 from typing import Any, NamedTuple
 
+import trio
 from hdrh.histogram import HdrHistogram
 
 from ryegauge.emulator.fleet import FleetType
+from ryegauge.emulator.network import Processors
 from ryegauge.emulator.versions import node_of
 from ryegauge.emulator.world import World
 from ryegauge.experiments.day import Arrivals, Day, Installation, TeamSize, Trouble
@@ -69,6 +71,13 @@
     spare: int  # rented after the trouble and not used by any task
     urgent_median_s: float  # of the picks submitted in the minute after: to the first task
     urgent_worst_s: float
+    # From the end of all controllers, in order: first answer to a worker, first job accepted,
+    # first task started, 95% of the workers answered. 0 if they did not all end.
+    answered_s: float
+    accepted_s: float
+    started_s: float
+    renewed_s: float
+    core: float  # of a core of this machine, that the busiest controller took on average
     killed: int  # tasks that a lease ended
     avoidable: int  # of these, on machines that a controller could have answered in time
     broken: int
@@ -81,13 +90,21 @@
     served: list[float] = []  # when some controller could have answered workers
     began: set[str] = set()
 
+    processors = Processors()
+    renewed: list[tuple[float, int, int]] = []  # (when, answered since the ends, workers)
+    ended = AT_S + 2 if trouble.endswith(", all controllers") else AT_S
+
     def watch(world: World) -> None:
-        now = world.happened[-1].at if world.happened else 0.0
+        if not cpus_at:
+            trio.lowlevel.add_instrument(processors)
+        now = trio.current_time()
         reporting = [
             w for w in world.workers.values()
             if w.alive and w.up and now - w.lease_from < 3 * REPORT_S
         ]
         cpus_at.append((now, sum(w.type.cpus for w in reporting)))
+        live = [w for w in world.workers.values() if w.alive and w.up]
+        renewed.append((now, sum(w.lease_from > ended for w in live), len(live)))
         began.update(w.name for w in world.workers.values() if w.tasks)
         up = sum(not scope.cancel_called for scope in world.scopes)
         if up and not world.state.outage:
@@ -112,6 +129,19 @@
         and sum(e.at - LEASE_S < at < e.at for at in served) > LEASE_S / 2 + 2 * REPORT_S
         for e in killed
     )
+    def after(what: str) -> float:
+        return next((e.at - ended for e in played.happened if e.what == what and e.at > ended + 1),
+                    float("inf"))
+
+    def answered(least: float) -> float:
+        return next((at - ended for at, n, of in renewed if n > 0 and n >= least * of),
+                    float("inf"))
+
+    all_ended = any(t.kind == "crash_all" for t in TROUBLES[trouble])
+    recovered = [
+        round(s, 1) if all_ended else 0.0
+        for s in (answered(0.0), after("accepted"), after("started"), answered(0.95))
+    ]
     first: dict[str, float] = {}
     ready: dict[str, float] = {}
     for e in played.happened:
@@ -130,6 +160,8 @@
         sum(state == "alive" and tasks != "0" for state, tasks in returned),
         sum(e.machine not in began for e in rented),
         histogram.get_value_at_percentile(50) / 1000, histogram.get_max_value() / 1000,
+        recovered[0], recovered[1], recovered[2], recovered[3],
+        round(max(processors.seconds.get(f"10.0.0.{n}", 0.0) for n in range(1, 6)) / DAY_S, 3),
         len(killed), avoidable, len(played.broken),
     )
 
@@ -142,6 +174,7 @@
         entry: dict[str, Any] = {"trouble": key[0], "version": key[1], "days": len(some)}
         for name in Recovery._fields[3:]:
             values = sorted(getattr(r, name) for r in some)
-            entry[name] = values[len(values) // 2] if name.endswith("_s") else sum(values)
+            timed = name.endswith("_s") or name == "core"
+            entry[name] = values[len(values) // 2] if timed else sum(values)
         result.append(entry)
     return result
