--- a/ryegauge/coordination/cloud.py
+++ b/ryegauge/coordination/cloud.py
@@ -110,9 +110,14 @@
 
     async def watch_catalog(self) -> None:
         """Prices for the leader; the types themselves for all, through the book."""
+        read_for: Leader | None = None  # and not again for a while
+        read_at = float("-inf")
         while True:
+            leader = self._desk.leading()
+            now = trio.current_time()
+            lasting_s = 2 * self._desk.settings.settings.workers.lease_s
             pause = self._desk.report_s / 10
-            if self._desk.leading() is not None:
+            if leader is not None and (leader is not read_for or now > read_at + lasting_s):
                 try:
                     await self._cloud_budget.take()
                     status, answer, _ = await self._cloud.request(
@@ -122,8 +127,8 @@
                         types = {t.name: t for t in parse(answer, Catalog).types}
                         if self._desk.leader is not None:
                             self._desk.leader.fleet.types = types
+                        read_for, read_at = leader, now
                         await self._publish_types(types)
-                        pause = 2 * self._desk.settings.settings.workers.lease_s
                 except (Unreachable, Malformed, *RETRY) as error:
                     log.info("reading the catalogue failed: %s", error)
                     pause = self._desk.report_s
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -7,6 +7,7 @@
 import logging
 import math
 from collections import Counter
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -40,17 +41,27 @@
 
 
 class Leader:
-    def __init__(self, token: int, book: JobBook, settings: Settings, now: float) -> None:
+    def __init__(
+        self, token: int, book: JobBook, settings: Settings, now: float,
+        types: Mapping[str, MachineType] | None = None, former: "Leader | None" = None,
+    ) -> None:
+        """`types` as the book has them: a leader that begins while the cloud is away would
+        decide nothing until it can read the catalogue. `former`: ourselves, under a token
+        before this one; what was learnt of fleet and run times stays true. (Found by a day on
+        which a leader fenced off its own allotment just before the cloud's trouble: no round
+        for a minute, `docs/incidents/ramdin-curepipe-next-rounds.md`.)"""
         self.token = token
         self._book = book
         self._settings = settings
         self._teams = {team.name: team for team in settings.settings.teams}
         self._views = Views(book, settings)
         self._silences = Silences(settings)
-        self.fleet = Fleet(settings, now)
+        self.fleet: Fleet = Fleet(settings, now) if former is None else former.fleet
+        if not self.fleet.types:
+            self.fleet.types = dict(types or {})
         self.backlog = False  # the last round's allotments could not all be written
         self._logged_at = -math.inf
-        self.estimates = Estimates()
+        self.estimates: Estimates = Estimates() if former is None else former.estimates
         self._policy = policy_of(settings)
         self._preemption = Preemption(book, settings, self.estimates, self._policy)
         self._urgencies = Urgencies(book, settings, self.estimates, ())
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -134,11 +134,14 @@
         token = self._desk.term.leader_token
         live = len({*self._desk.book.nodes, self._desk.settings.node_name})
         self._desk.state.share(live, token is not None)
-        if self._desk.leader is not None and self._desk.leader.token != token:
+        former = self._desk.leader
+        if former is not None and former.token != token:
             self._desk.leader = None
         if self._desk.leader is None and token is not None:
             log.info("leading under token %d", token)
-            self._desk.leader = Leader(token, self._desk.book, self._desk.settings, now)
+            self._desk.leader = Leader(
+                token, self._desk.book, self._desk.settings, now, self._types, former
+            )
         if self._desk.book.ledger != self._seen:
             self._seen = self._desk.book.ledger
             self._desk.wake()
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -430,3 +430,18 @@
     lead.leader.on_view(view, lead.now)
     assert next(iter(lead.leader.round(lead.now, lead.now).allotments))[0] in (
         "wk-000001", "wk-000002")
+
+
+def test_a_leader_that_begins_knows_the_types_and_what_it_learnt_before(
+    lead: Lead, settings: Settings
+) -> None:
+    """Found by measurement: after fencing off its own allotment a leader had no types until
+    it could read the catalogue, and the cloud was away for a minute: no round at all."""
+    new = Leader(10, lead.book, settings, NOW, {"small": SMALL})
+    assert new.fleet.types == {"small": SMALL}
+    assert not new.fleet.listed_once
+    lead.leader.fleet.released(["m-1"], NOW)
+    again = Leader(11, lead.book, settings, NOW, {}, former=lead.leader)
+    assert again.fleet.gone == {"m-1": NOW}
+    assert again.fleet.listed_once
+    assert again.estimates is lead.leader.estimates
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -486,6 +486,26 @@
     assert lost_sessions(world) == 0
 
 
+def test_a_new_leader_places_work_while_the_cloud_is_away(
+    controllers: list[Settings],
+) -> None:
+    """Found by measurement: it waited for the catalogue, and allotted nothing."""
+    async def away(world: World) -> None:
+        await trio.sleep(35.0)
+        world.cloud.outage = True
+        leader = world.state.data["r/l"][0]["o"]
+        world.crash(world.names.index(leader))
+        await trio.sleep(45.0)
+        assert "wk-000002" in world.checker.final
+        world.cloud.outage = False
+
+    jobs = [{"pieces": 4, "delay": 1.0, "really": 40.0, "cpus": 1.0},
+            {"pieces": 2, "delay": 45.0, "really": 5.0, "cpus": 1.0, "expectS": 5.0}]
+    world = play(controllers, 3, jobs, away, 120.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+
+
 def test_a_deaf_owner_gives_its_part_up(tmp_path: Path) -> None:
     """Found by days on which a controller lost the workers alone: it kept its part, peers sent
     its workers back to it, and all their leases ran out."""
