Queues: one controller takes a broker's messages, by weight and at a pace; answers kept by a rule

Need: bindings shared nothing fairly, a flood on a queue used up what users who submit directly need, a message that could not be recorded stayed where it was, and answers that no queue takes were paid with a warning. TLS was not tested, nothing was counted.

A connection that opens and ends at once (no such queue) is tried ever more slowly; it was tried twice a second for good. Tests: shares and turns against plain models, TLS with certificates of our own making, stand-in for a consumer that cannot reach the broker, at_most_once, a flood.

All off without queues.file.

--- a/ryegauge/amqp/client.py
+++ b/ryegauge/amqp/client.py
@@ -196,17 +196,21 @@
 ) -> None:
     """One session after another, each with the next broker of the list, until cancelled.
     `serve` makes of a session what is told its events."""
-    failures = 0
+    failures, pause_s = 0, 0.0
     number = rng.randrange(len(brokers))
     while True:
         broker = brokers[number % len(brokers)]
         number += 1
         failures += 1
+        began = trio.current_time()
         try:
             session = await open_session(broker, connect)
             closed = await _run_logged_in(session, serve(session), broker.timeout_s)
             why = f"{closed.code} {closed.text}"
-            failures = 0 if session.opened else failures
+            # One that opens and ends at once (no such queue) is as bad as none: without this
+            # it was tried again twice a second for good.
+            lasted = trio.current_time() - began > 4 * pause_s
+            failures = 0 if session.opened and lasted and closed.code else failures
         except (OSError, ssl.SSLError, trio.TooSlowError, trio.BrokenResourceError) as error:
             why = f"no connection: {type(error).__name__}: {error}"
         except BrokerError as error:
--- a/ryegauge/amqp/connection.py
+++ b/ryegauge/amqp/connection.py
@@ -28,7 +28,7 @@
 SILENT_BEATS = 2.0
 
 State = Literal["start", "tune", "open", "running", "closing", "closed"]
-ChannelState = Literal["opening", "open", "closing"]
+ChannelState = Literal["opening", "open"]
 
 
 class Opened(NamedTuple):
@@ -40,7 +40,7 @@
 
 
 class ChannelClosed(NamedTuple):
-    """By the broker if `code` is not 0; what was not acknowledged comes again."""
+    """By the broker; what was not acknowledged comes again."""
 
     channel: int
     code: int
@@ -105,6 +105,15 @@
     method: str
 
 
+class Counted(NamedTuple):
+    """Of a queue: messages that wait for a consumer, and consumers."""
+
+    channel: int
+    queue: str
+    messages: int
+    consumers: int
+
+
 class Closed(NamedTuple):
     """The last event. `code` 0: as we wanted."""
 
@@ -114,7 +123,7 @@
 
 Event = (
     Opened | ChannelOpened | ChannelClosed | Consuming | ConsumerCancelled | Delivery | Confirmed
-    | Returned | Blocked | Unblocked | Done | Closed
+    | Returned | Blocked | Unblocked | Counted | Done | Closed
 )
 
 
@@ -242,10 +251,6 @@
         self._send(number, amqp.Channel.Open())
         return number
 
-    def close_channel(self, number: int) -> None:
-        self._open(number).state = "closing"
-        self._send(number, amqp.Channel.Close(200, "done", 0, 0))
-
     def prefetch(self, number: int, count: int) -> None:
         """At most so many deliveries unsettled at once, of each consumer; 0: any number."""
         self._open(number)
@@ -259,10 +264,12 @@
         self._open(number)
         self._send(number, Basic.Cancel(consumer, False))
 
-    def declare(self, number: int, queue: str, *, durable: bool = True) -> None:
+    def declare(self, number: int, queue: str, *, passive: bool = False) -> None:
+        """Makes a durable queue, or (`passive`) only asks for its counts: `Counted`. One that
+        is not there closes the channel then."""
         self._open(number)
         self._send(
-            number, amqp.Queue.Declare(0, queue, False, durable, False, False, False, {})
+            number, amqp.Queue.Declare(0, queue, passive, True, False, False, False, {})
         )
 
     def select_confirms(self, number: int) -> None:
@@ -411,12 +418,6 @@
                 events.append(
                     ChannelClosed(number, value.reply_code or 320, str(value.reply_text))
                 )
-            case amqp.Channel.CloseOk() if channel.state == "closing":
-                del self._channels[number]
-                events.append(ChannelClosed(number, 0, "closed"))
-            case _ if channel.state == "closing":
-                if isinstance(value, Basic.Deliver | Basic.Return):
-                    channel.content = _Content(value)  # its pieces follow, and are dropped
             case amqp.Channel.OpenOk() if channel.state == "opening":
                 channel.state = "open"
                 events.append(ChannelOpened(number))
@@ -438,7 +439,11 @@
             case amqp.Confirm.SelectOk():
                 channel.confirms = True
                 events.append(Done(number, "Confirm.Select"))
-            case Basic.QosOk() | Basic.CancelOk() | amqp.Queue.DeclareOk():
+            case amqp.Queue.DeclareOk():
+                events.append(Counted(
+                    number, str(value.queue), value.message_count or 0, value.consumer_count or 0
+                ))
+            case Basic.QosOk() | Basic.CancelOk():
                 events.append(Done(number, value.name.removesuffix("Ok")))
             case _:
                 raise FrameError(503, f"{value.name} was not expected")
--- a/ryegauge/bookkeeping/state.py
+++ b/ryegauge/bookkeeping/state.py
@@ -64,6 +64,7 @@
         self._rps, self._write_rps = 0.9 * rps, 0.9 * write_rps
         self.requests = Budget(self._rps / nodes, self._rps / nodes)
         self.writes = Budget(self._write_rps / nodes, self._write_rps / nodes)
+        self.refused_writes = 0  # transactions answered 429: together we write too fast
         # When it last served us directly, and since when it has not.
         self.failing_since: float | None = None
         self._patience_s = 0.0
@@ -119,6 +120,8 @@
         else:
             status, answer = await self.direct(method, target, body, timeout_s)
         if status == 429:
+            if target == "/multi":
+                self.refused_writes += 1
             (self.requests if target != "/multi" else self.writes).drain()
             raise TooMany("429")
         if status == 503:
--- a/ryegauge/cli/__init__.py
+++ b/ryegauge/cli/__init__.py
@@ -14,6 +14,7 @@
     "submit": ("jobs", "submit"),
     "status": ("jobs", "status"),
     "cancel": ("jobs", "cancel"),
+    "queues": ("queues", "queues"),
     "schema": ("schema", "schema"),
     "emulate": ("emulate", "emulate"),
     "experiment": ("experiment", "experiment"),
--- a/ryegauge/cli/emulate.py
+++ b/ryegauge/cli/emulate.py
@@ -21,9 +21,13 @@
               help="Loopback HOST:PORT of the first controller; the others follow.")
 @click.option("--controllers", type=click.IntRange(0, 9),
               help="Controllers to start; 0: only what they deal with.")
+@click.option("--queues", "queues_file", type=click.Path(dir_okay=False, exists=True),
+              help="TOML file with bindings: serve them, with a stand-in broker on the port of "
+              "the first one's URL (deploy/queues.toml is an example).")
 @click.option("--verbose", is_flag=True, help="Log what controllers and workers do.")
 def emulate(
-    config: Path | None, listen: str, controllers: int | None, verbose: bool
+    config: Path | None, listen: str, controllers: int | None, verbose: bool,
+    queues_file: str | None,
 ) -> None:
     """Start a state service, a cloud, workers and a controller until interrupted.
 
@@ -38,7 +42,7 @@
         emulation = Emulation() if config is None else read_toml(config, Emulation)
         if controllers is not None:
             emulation = msgspec.structs.replace(emulation, controllers=controllers)
-        installation = Installation(emulation, listen)
+        installation = Installation(emulation, listen, queues_file)
     except ConfigError as error:
         fail(str(error), 2)
     teams = ", ".join(team.name for team in emulation.teams)
--- a/ryegauge/cli/experiment.py
+++ b/ryegauge/cli/experiment.py
@@ -20,7 +20,7 @@
 
 
 @click.command()
-@click.argument("name", type=click.Choice(["ageing", "recovery", "rounds"]))
+@click.argument("name", type=click.Choice(["ageing", "queues", "recovery", "rounds"]))
 @click.option("--day", "days", multiple=True, metavar="DAY",
               help="A built-in day, or a TOML file; may be repeated. Built in: "
               f"{', '.join(_built_in())}. Default: all of these.")
@@ -54,6 +54,10 @@
     ageing: mixed work under each order of jobs, on the days named with --day: delays to the
     first task by priority, inversions, jobs that never started, useful money.
 
+    queues: messages of a stand-in broker, with broker, controllers and state service ending
+    at random moments, and connections dropping at every step: jobs, runs and answers of each
+    message; then a flood on two bindings beside users who submit directly.
+
     recovery: much of a fleet is lost, hangs or is cut off: seconds until replacements are
     asked for and until the room is back, machines returned that ran tasks, urgent delays,
     tasks killed by their lease. Long at 600 machines and more: a minute for each day.
@@ -83,6 +87,9 @@
         _recovery(machines, troubles, against, list(range(seed, seed + seeds)), processes,
                   as_json, console)
         return
+    if name == "queues":
+        _queues(list(range(seed, seed + seeds)), processes, as_json, console)
+        return
     named: dict[str, Day] = {}
     for day_name in days or _built_in():
         path = DAYS / f"{day_name}.toml" if day_name in _built_in() else Path(day_name)
@@ -167,3 +174,51 @@
         print_tables(f"Recovery, about {machines} machines", [rows], console)
     if broken := sum(row["broken"] for row in rows):
         fail(f"{broken} times a rule was broken", 1)
+
+
+# Frames after which connections drop: login and subscription take ten, each message a few.
+STEPS = range(40)
+
+
+def _queues(seeds: list[int], processes: int, as_json: bool, console: Any) -> None:
+    from concurrent.futures import ProcessPoolExecutor, as_completed
+    from multiprocessing import get_context
+
+    try:
+        from ryegauge.experiments import queues
+        from ryegauge.queues.bindings import Delivery
+    except ImportError as error:
+        fail(f"{EXTRA} 'ryegauge[queues]' ({error})", 2)
+    from ryegauge.experiments.report import print_tables
+
+    deliveries: tuple[Delivery, ...] = ("once", "at_least_once", "at_most_once")
+    runs = [
+        (delivery, trouble, seed, 30)
+        for delivery in deliveries
+        for trouble, some in (("ends", seeds), *((str(n), seeds[:1]) for n in STEPS))
+        for seed in some
+    ]
+    floods = [(seed, 120.0, with_queues) for seed in seeds[:4] for with_queues in (False, True)]
+    with ProcessPoolExecutor(processes, mp_context=get_context("spawn")) as pool:
+        counted = [pool.submit(queues.count, *run) for run in runs]
+        flooded = [pool.submit(queues.overload, *flood) for flood in floods]
+        both: list[Any] = [*counted, *flooded]
+        whole = len(both)
+        for ended, _ in enumerate(as_completed(both), 1):
+            if ended % -(-whole // 10) == 0:
+                click.echo(f"{ended} of {whole} days", err=True)
+    tables = [
+        queues.table(future.result() for future in counted),
+        [future.result()._asdict() for future in flooded],
+    ]
+    if as_json:
+        click.echo(json.dumps(tables, indent=2))
+    else:
+        print_tables("Queues", tables, console)
+    wrong = sum(
+        row["broken"] + row["ran_twice"] + row["two_answers"]
+        + (row["lost"] + row["unanswered"] if row["delivery"] != "at_most_once" else 0)
+        for row in tables[0]
+    )
+    if wrong:
+        fail(f"{wrong} differences", 1)
--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -148,6 +148,8 @@
     ageing_stop_reports: NonNegative = 1.0
     # The file that names the queues to be served; none are if it is empty.
     queues_file: str = ""
+    # HOST:PORT where a Prometheus server may ask for figures of the queues; "": nowhere.
+    metrics_listen: str = ""
 
 
 class Settings(msgspec.Struct, frozen=True):
@@ -271,7 +273,7 @@
     for key, text in pairs.items():
         if key not in known:
             raise ConfigError(f"{path}: {key}: unknown; expected one of {', '.join(sorted(known))}")
-        if known[key] in ("ordering", "queues_file"):
+        if known[key] in ("ordering", "queues_file", "metrics_listen"):
             values[known[key]] = text
             continue
         try:
@@ -285,6 +287,11 @@
         for dotted, name in known.items():
             message = message.replace(f"$.{name}", dotted)
         raise ConfigError(f"{path}: {message}") from None
+    if properties.metrics_listen:
+        try:
+            split_address(properties.metrics_listen)
+        except ValueError as error:
+            raise ConfigError(f"{path}: metrics.listen: {error}") from None
     if properties.ageing_floor > properties.ageing_ceiling:
         raise ConfigError(
             f"{path}: ageing.floor: {properties.ageing_floor:g}; expected at most "
--- a/ryegauge/emulator/broker.py
+++ b/ryegauge/emulator/broker.py
@@ -14,10 +14,13 @@
 from pamqp.body import ContentBody
 from pamqp.commands import Basic
 from pamqp.header import ContentHeader, ProtocolHeader
+from pamqp.heartbeat import Heartbeat
 
 from ryegauge.amqp.frames import Cutter
+from ryegauge.emulator.network import HOST
 
 FRAME_MAX = 32 * 1024
+HEARTBEAT_S = 10
 
 
 @dataclass
@@ -35,6 +38,10 @@
     tag: str
     queue: str
 
+    @property
+    def host(self) -> str:
+        return self.link.host
+
 
 class Broker:
     def __init__(self, nursery: trio.Nursery, rng: random.Random) -> None:
@@ -47,6 +54,8 @@
         # Kills the connection after so many more frames from it; None: never.
         self.frames_left: int | None = None
         self.deliveries = 0
+        self.unreachable: set[str] = set()  # hosts that get no connection
+        self.refuse_keys: set[str] = set()  # routing keys that lead to no queue
 
     def put(self, key: str, properties: Basic.Properties, body: bytes) -> None:
         self.queues.setdefault(key, deque()).append(Message(key, properties, body))
@@ -54,14 +63,21 @@
 
     async def connect(self, _: object = None) -> trio.abc.Stream:
         await trio.sleep(self.rng.uniform(0.001, 0.01))
-        if not self.up:
+        host = HOST.get()
+        if not self.up or host in self.unreachable:
             raise ConnectionRefusedError("the broker is down")
         ours, theirs = trio.testing.memory_stream_pair()
-        link = Link(self, theirs)
+        link = Link(self, theirs, host)
         self.links.append(link)
         self.nursery.start_soon(link.run)
         return ours
 
+    async def serve(self, stream: trio.abc.Stream) -> None:
+        """A connection from elsewhere, such as a real socket."""
+        link = Link(self, stream, "")
+        self.links.append(link)
+        await link.run()
+
     def kill(self) -> None:
         """All connections end at once; durable queues stay."""
         self.up = False
@@ -100,22 +116,23 @@
 class Link:
     """One client's connection, seen from the broker."""
 
-    def __init__(self, broker: Broker, stream: trio.abc.Stream) -> None:
+    def __init__(self, broker: Broker, stream: trio.abc.Stream, host: str) -> None:
         self._broker = broker
+        self.host = host  # of the client, in simulated time
         self._stream = stream
         self._out = bytearray()
         self._wake = trio.Event()
         self._scope = trio.CancelScope()
-        self._channels: dict[int, Channel] = {}
+        self.channels: dict[int, Channel] = {}
 
     def wants(self, number: int) -> bool:
-        channel = self._channels.get(number)
+        channel = self.channels.get(number)
         return channel is not None and (
             not channel.prefetch or len(channel.unsettled) < channel.prefetch
         )
 
     def deliver(self, consumer: Consumer, message: Message) -> None:
-        channel = self._channels[consumer.channel]
+        channel = self.channels[consumer.channel]
         channel.tags += 1
         channel.unsettled[channel.tags] = (consumer.queue, message)
         self._send(consumer.channel, Basic.Deliver(
@@ -130,11 +147,11 @@
             return
         self._broker.links.remove(self)
         self._broker.consumers = [c for c in self._broker.consumers if c.link is not self]
-        for channel in self._channels.values():
+        for channel in self.channels.values():
             for queue, message in reversed(channel.unsettled.values()):
                 message.redelivered = True
                 self._broker.queues.setdefault(queue, deque()).appendleft(message)
-        self._channels.clear()
+        self.channels.clear()
         self._broker.deal()
 
     async def run(self) -> None:
@@ -173,7 +190,10 @@
         while True:
             if not self._out:
                 self._wake = trio.Event()
-                await self._wake.wait()
+                with trio.move_on_after(HEARTBEAT_S / 2):
+                    await self._wake.wait()
+                if not self._out:
+                    self._send(0, Heartbeat())
             data = bytes(self._out)
             self._out.clear()
             await trio.sleep(self._broker.rng.uniform(0.0005, 0.003))
@@ -188,16 +208,16 @@
         self._wake.set()
 
     def _on(self, number: int, value: Any) -> None:
-        channel = self._channels.get(number)
+        channel = self.channels.get(number)
         match value:
             case amqp.Connection.StartOk():
-                self._send(0, amqp.Connection.Tune(64, FRAME_MAX, 10))
+                self._send(0, amqp.Connection.Tune(64, FRAME_MAX, HEARTBEAT_S))
             case amqp.Connection.Open():
                 self._send(0, amqp.Connection.OpenOk())
             case amqp.Connection.Close():
                 self._send(0, amqp.Connection.CloseOk())
             case amqp.Channel.Open():
-                self._channels[number] = Channel()
+                self.channels[number] = Channel()
                 self._send(number, amqp.Channel.OpenOk())
             case _ if channel is not None:
                 self._on_channel(number, channel, value)
@@ -215,6 +235,21 @@
                 self._broker.consumers.append(
                     Consumer(self, number, str(value.consumer_tag), str(value.queue)))
                 self._broker.deal()
+            case amqp.Queue.Declare():
+                queue = str(value.queue)
+                if value.passive and queue not in self._broker.queues:
+                    self.channels.pop(number, None)
+                    self._send(number, amqp.Channel.Close(404, "no such queue", 50, 10))
+                    return
+                waiting = self._broker.queues.setdefault(queue, deque())
+                consumers = sum(c.queue == queue for c in self._broker.consumers)
+                self._send(number, amqp.Queue.DeclareOk(queue, len(waiting), consumers))
+            case Basic.Cancel():
+                self._broker.consumers = [
+                    c for c in self._broker.consumers
+                    if (c.link, c.channel, c.tag) != (self, number, str(value.consumer_tag))
+                ]
+                self._send(number, Basic.CancelOk(value.consumer_tag))
             case Basic.Ack():
                 channel.unsettled.pop(value.delivery_tag or 0, None)
                 self._broker.deal()
@@ -237,8 +272,15 @@
         header = channel.header
         if header is None or len(channel.parts) < header.body_size:
             return
-        key = channel.publishing.routing_key
-        self._broker.put(channel.publishing.exchange + key, header.properties, channel.parts)
+        key = str(channel.publishing.routing_key)
+        if key in self._broker.refuse_keys:
+            self._send(number, Basic.Return(312, "no route", "", key))
+            self._send(number, ContentHeader(0, len(channel.parts), header.properties))
+            if channel.parts:
+                self._send(number, ContentBody(channel.parts))
+        else:
+            name = channel.publishing.exchange + key
+            self._broker.put(name, header.properties, channel.parts)
         channel.published += 1
         if channel.confirms:
             self._send(number, Basic.Ack(channel.published, False))
--- a/ryegauge/emulator/live.py
+++ b/ryegauge/emulator/live.py
@@ -7,7 +7,8 @@
 import random
 import subprocess
 import time
-from typing import Annotated, Any
+from collections import deque
+from typing import TYPE_CHECKING, Annotated, Any
 
 import msgspec
 import trio
@@ -20,6 +21,9 @@
 from ryegauge.emulator.workers import Worker
 from ryegauge.transport.http import Handler, Network, TcpNetwork, split_address
 
+if TYPE_CHECKING:
+    from ryegauge.queues.bindings import Queues
+
 log = logging.getLogger(__name__)
 
 Positive = Annotated[float, msgspec.Meta(gt=0)]
@@ -52,6 +56,15 @@
     seed: int = 1
 
 
+def bindings_of(queues_file: str, settings: Settings) -> "Queues":
+    """Raises ConfigError, also if what queues need is not installed."""
+    try:
+        from ryegauge.queues import bindings
+    except ImportError as error:
+        raise ConfigError(f"queues need: pip install 'ryegauge[queues]' ({error})") from None
+    return bindings.load(queues_file, settings)
+
+
 def loopback(listen: str) -> tuple[str, int]:
     """Host and port; a stand-in is for this machine alone, and refuses any other address."""
     try:
@@ -68,7 +81,10 @@
     """Addresses follow the first port: users' ports of the controllers, then (from +10)
     those of their peers, state service (+20) and cloud (+21), workers (from +30)."""
 
-    def __init__(self, emulation: Emulation, listen: str) -> None:
+    def __init__(
+        self, emulation: Emulation, listen: str, queues_file: str | None = None
+    ) -> None:
+        """`queues_file` names bindings to be served; raises ConfigError."""
         self._emulation = emulation
         self._host, self._port = loopback(listen)
         self.rng = random.Random(emulation.seed)
@@ -87,6 +103,11 @@
         self._network = TcpNetwork()
         self._specs: dict[str, dict[str, Any]] = {}
         self._machines = 0
+        self._queues_file = queues_file
+        if queues_file is not None:
+            self._queues = bindings_of(queues_file, self.settings(0))
+            _, self._broker_port, *_ = self._queues.bindings[0].brokers[0].address()
+            loopback(f"{self._queues.bindings[0].brokers[0].address()[0]}:{self._broker_port}")
 
     def _at(self, offset: int) -> str:
         return f"{self._host}:{self._port + offset}"
@@ -180,6 +201,19 @@
             nursery.start_soon(self._serve, self._at(20), self.state.handle)
             nursery.start_soon(self._serve, self._at(21), self.cloud.handle)
             nursery.start_soon(self.cloud.run)
+            front = None
+            if self._queues_file is not None:
+                from ryegauge.emulator.broker import Broker
+                from ryegauge.queues.front import front_of
+
+                broker = Broker(nursery, self.rng)
+                for binding in self._queues.bindings:
+                    broker.queues.setdefault(binding.queue, deque())
+                listeners = await trio.open_tcp_listeners(self._broker_port, host=self._host)
+                nursery.start_soon(trio.serve_listeners, broker.serve, listeners)
+                front = front_of(self._queues, random.SystemRandom())
             for n in range(self._emulation.controllers):
-                node = Node(self.settings(n), self._network, time.time, random.SystemRandom())
+                node = Node(
+                    self.settings(n), self._network, time.time, random.SystemRandom(), front
+                )
                 nursery.start_soon(node.run)
--- a/ryegauge/queues/bindings.py
+++ b/ryegauge/queues/bindings.py
@@ -30,6 +30,10 @@
     # Fields of a submission that a message may leave out, by their names on the wire.
     defaults: dict[str, Any] = {}
     prefetch: Annotated[int, msgspec.Meta(ge=1, le=1000)] = 20
+    # Its part of what queues may record, against the other bindings'.
+    weight: Annotated[float, msgspec.Meta(gt=0, le=1000)] = 1.0
+    # Jobs of its team and class that are not over, beyond which its messages stay in the queue.
+    open_jobs: Annotated[int, msgspec.Meta(ge=1)] = 500
     # Answers go to the message's `reply_to` by way of this exchange; "" is the default one.
     reply_exchange: str = ""
     # What can never run goes here, with the reason in its headers; "": it is rejected, and
@@ -51,6 +55,8 @@
 
 class Queues(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
     bindings: list[Binding]
+    # How long an answer is kept that can't be given: no queue takes it, or its binding is gone.
+    keep_answers_s: Annotated[float, msgspec.Meta(gt=0)] = 7 * 86400.0
 
 
 def load(path: str, settings: Settings | None = None) -> Queues:
--- a/ryegauge/service.py
+++ b/ryegauge/service.py
@@ -31,6 +31,14 @@
     )
 
 
+def _leaves(group: BaseExceptionGroup[BaseException]) -> list[BaseException]:
+    """The exceptions in groups of groups."""
+    return [
+        leaf for error in group.exceptions
+        for leaf in (_leaves(error) if isinstance(error, BaseExceptionGroup) else [error])
+    ]
+
+
 def serve(config: str, properties: str | None = None) -> None:
     """Exit code 2: the settings cannot be used; 1: the addresses cannot be listened on."""
     _log_to_stderr()
@@ -46,22 +54,32 @@
         try:
             from ryegauge.queues import bindings
             from ryegauge.queues.front import front_of
+            from ryegauge.queues.meter import Meter
         except ImportError as error:
             fail(f"queues need: pip install 'ryegauge[queues]' ({error})", 2)
         try:
             queues = bindings.load(settings.properties.queues_file, settings)
         except ConfigError as error:
             fail(str(error), 2)
-        front = front_of(queues, random.SystemRandom())
+        meters: dict[str, Meter] = {}
+        front = front_of(queues, random.SystemRandom(), meters=meters)
 
     async def run() -> None:
-        await Node(settings, TcpNetwork(), time.time, random.SystemRandom(), front).run()
+        network = TcpNetwork()
+        async with trio.open_nursery() as nursery:
+            if front is not None and settings.properties.metrics_listen:
+                from ryegauge.queues import exporter
+
+                nursery.start_soon(
+                    exporter.serve, network, settings.properties.metrics_listen, meters
+                )
+            await Node(settings, network, time.time, random.SystemRandom(), front).run()
 
     stopped: list[BaseException] = []
     try:
         trio.run(run)
     except* (KeyboardInterrupt, OSError) as group:
-        stopped += group.exceptions
+        stopped += _leaves(group)
     if any(isinstance(error, KeyboardInterrupt) for error in stopped):
         sys.exit(130)
     if stopped:
--- a/ryegauge/transport/http.py
+++ b/ryegauge/transport/http.py
@@ -204,10 +204,13 @@
 async def _send(
     conn: h11.Connection, stream: trio.SocketStream, reply: Reply, close: bool = False
 ) -> None:
-    body = b"" if reply.body is None else encode(reply.body)
+    # Octets go out as they are: no message between components is binary.
+    plain = isinstance(reply.body, bytes)
+    body = b"" if reply.body is None else reply.body if plain else encode(reply.body)
     headers = [("content-length", str(len(body)))]
     if body:
-        headers.append(("content-type", "application/cbor"))
+        kind = "text/plain; version=0.0.4; charset=utf-8" if plain else "application/cbor"
+        headers.append(("content-type", kind))
     if reply.retry_after_s is not None:
         headers.append(("retry-after", str(max(1, math.ceil(reply.retry_after_s)))))
     if close:
