--- a/ryegauge/cli/experiment.py
+++ b/ryegauge/cli/experiment.py
@@ -2,6 +2,7 @@
 
 import json
 import os
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -143,13 +144,25 @@
         fail(f"{broken} times a rule was broken", 1)
 
 
+def _play(
+    calls: Sequence[tuple[Callable[..., Any], tuple[Any, ...]]], processes: int
+) -> list[Any]:
+    """What each call comes to, in their order, and how far it has come."""
+    from concurrent.futures import ProcessPoolExecutor, as_completed
+    from multiprocessing import get_context
+
+    with ProcessPoolExecutor(processes, mp_context=get_context("spawn")) as pool:
+        futures = [pool.submit(call, *arguments) for call, arguments in calls]
+        for ended, _ in enumerate(as_completed(futures), 1):
+            if ended % -(-len(calls) // 10) == 0:
+                click.echo(f"{ended} of {len(calls)} days", err=True)
+    return [future.result() for future in futures]
+
+
 def _recovery(
     machines: int, troubles: tuple[str, ...], against: str | None, seeds: list[int],
     processes: int, as_json: bool, console: Any,
 ) -> None:
-    from concurrent.futures import ProcessPoolExecutor, as_completed
-    from multiprocessing import get_context
-
     from ryegauge.experiments import recovery
     from ryegauge.experiments.report import print_tables
 
@@ -157,17 +170,12 @@
         if trouble not in recovery.TROUBLES:
             fail(f"no trouble {trouble!r}; expected one of {', '.join(recovery.TROUBLES)}", 2)
     versions = [("this", None), *([("against", against)] if against else [])]
-    runs = [
-        (machines, trouble, seed, version, checkout)
+    calls = [
+        (recovery.measure, (machines, trouble, seed, version, checkout))
         for trouble in troubles or recovery.TROUBLES
         for version, checkout in versions for seed in seeds
     ]
-    with ProcessPoolExecutor(processes, mp_context=get_context("spawn")) as pool:
-        futures = [pool.submit(recovery.measure, *run) for run in runs]
-        for ended, _ in enumerate(as_completed(futures), 1):
-            if ended % -(-len(runs) // 10) == 0:
-                click.echo(f"{ended} of {len(runs)} days", err=True)
-    rows = recovery.table([future.result() for future in futures])
+    rows = recovery.table(_play(calls, processes))
     if as_json:
         click.echo(json.dumps(rows, indent=2))
     else:
@@ -181,9 +189,6 @@
 
 
 def _queues(seeds: list[int], processes: int, as_json: bool, console: Any) -> None:
-    from concurrent.futures import ProcessPoolExecutor, as_completed
-    from multiprocessing import get_context
-
     try:
         from ryegauge.experiments import queues
         from ryegauge.queues.bindings import Delivery
@@ -192,24 +197,19 @@
     from ryegauge.experiments.report import print_tables
 
     deliveries: tuple[Delivery, ...] = ("once", "at_least_once", "at_most_once")
-    runs = [
-        (delivery, trouble, seed, 30)
+    counts = [
+        (queues.count, (delivery, trouble, seed, 30))
         for delivery in deliveries
         for trouble, some in (("ends", seeds), *((str(n), seeds[:1]) for n in STEPS))
         for seed in some
     ]
-    floods = [(seed, 120.0, with_queues) for seed in seeds[:4] for with_queues in (False, True)]
-    with ProcessPoolExecutor(processes, mp_context=get_context("spawn")) as pool:
-        counted = [pool.submit(queues.count, *run) for run in runs]
-        flooded = [pool.submit(queues.overload, *flood) for flood in floods]
-        both: list[Any] = [*counted, *flooded]
-        whole = len(both)
-        for ended, _ in enumerate(as_completed(both), 1):
-            if ended % -(-whole // 10) == 0:
-                click.echo(f"{ended} of {whole} days", err=True)
+    floods = [
+        (queues.overload, (seed, 120.0, with_queues))
+        for seed in seeds[:4] for with_queues in (False, True)
+    ]
+    played = _play([*counts, *floods], processes)
     tables = [
-        queues.table(future.result() for future in counted),
-        [future.result()._asdict() for future in flooded],
+        queues.table(played[: len(counts)]), [one._asdict() for one in played[len(counts) :]],
     ]
     if as_json:
         click.echo(json.dumps(tables, indent=2))
--- a/ryegauge/cli/queues.py
+++ b/ryegauge/cli/queues.py
@@ -143,11 +143,12 @@
     from pamqp.commands import Basic
 
     from ryegauge.amqp.connection import Confirmed, Returned
+    from ryegauge.queues.answers import PERSISTENT
     from ryegauge.queues.messages import Cancellation, Never, read
 
     data = body.read()
     properties = Basic.Properties(
-        message_id=message_id, priority=priority, reply_to=reply_to, delivery_mode=2,
+        message_id=message_id, priority=priority, reply_to=reply_to, delivery_mode=PERSISTENT,
         content_type=content_type,
     )
     if isinstance(found := read(bound, properties, data), Never):
--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -175,6 +175,11 @@
         """The longest ordinary pause between a worker's reports."""
         return self.settings.workers.report_s * 1.25
 
+    @property
+    def sure_lease_s(self) -> float:
+        """A worker's lease has run out, for certain, this long after its report came in."""
+        return self.settings.workers.lease_s * (1 + 4 * CLOCK_DRIFT) + 0.1
+
     @property
     def term_s(self) -> float:
         """How long authority lasts past the renewal that obtained it.
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -13,7 +13,7 @@
 
 from ryegauge.bookkeeping.jobbook import JobBook
 from ryegauge.bookkeeping.ranges import Ranges
-from ryegauge.config import CLOCK_DRIFT, Settings
+from ryegauge.config import Settings
 from ryegauge.coordination import shares
 from ryegauge.coordination.held import Machine, Phase, Task
 from ryegauge.coordination.needs import make_need, task_sizes
@@ -60,8 +60,7 @@
         self._book = book
         self._settings = settings
         self._types = types
-        # A worker's lease runs out, for certain, this long after its report came in.
-        self.lease_s = settings.settings.workers.lease_s * (1 + 4 * CLOCK_DRIFT) + 0.1
+        self.lease_s = settings.sure_lease_s
         # By then whatever the earlier authority commanded has reported here or lost
         # its lease: it could last answer before this token existed.
         self._barrier_at = now + self.lease_s
--- a/ryegauge/coordination/silences.py
+++ b/ryegauge/coordination/silences.py
@@ -3,7 +3,7 @@
 
 import math
 
-from ryegauge.config import CLOCK_DRIFT, Settings
+from ryegauge.config import Settings
 from ryegauge.coordination.fleet import Fleet, Rented
 from ryegauge.coordination.views import PartState
 from ryegauge.detection.verdicts import (
@@ -25,10 +25,7 @@
 
 class Silences:
     def __init__(self, settings: Settings) -> None:
-        self._limits = Limits(
-            settings.report_gap_s,
-            settings.settings.workers.lease_s * (1 + 4 * CLOCK_DRIFT) + 0.1,
-        )
+        self._limits = Limits(settings.report_gap_s, settings.sure_lease_s)
         self._unheard: dict[int, list[tuple[str, str]]] = {}
         self.cut: set[str] = set()  # zones that nothing is heard of
         self._overheard: dict[str, float] = {}  # machine -> when another than its owner heard it
--- a/ryegauge/emulator/live.py
+++ b/ryegauge/emulator/live.py
@@ -106,8 +106,8 @@
         self._queues_file = queues_file
         if queues_file is not None:
             self._queues = bindings_of(queues_file, self.settings(0))
-            _, self._broker_port, *_ = self._queues.bindings[0].brokers[0].address()
-            loopback(f"{self._queues.bindings[0].brokers[0].address()[0]}:{self._broker_port}")
+            host, self._broker_port, *_ = self._queues.bindings[0].brokers[0].address()
+            loopback(f"{host}:{self._broker_port}")
 
     def _at(self, offset: int) -> str:
         return f"{self._host}:{self._port + offset}"
--- a/ryegauge/experiments/recovery.py
+++ b/ryegauge/experiments/recovery.py
@@ -92,7 +92,9 @@
 
     processors = Processors()
     renewed: list[tuple[float, int, int]] = []  # (when, answered since the ends, workers)
-    ended = AT_S + 2 if trouble.endswith(", all controllers") else AT_S
+    troubles = {t.kind: t.at_s for t in TROUBLES[trouble]}
+    all_ended = "crash_all" in troubles
+    ended = troubles.get("crash_all", AT_S)
 
     def watch(world: World) -> None:
         if not cpus_at:
@@ -123,9 +125,8 @@
     returned = [e.detail.split() for e in events if e.what == "returned"]
     killed = [e for e in events if e.what == "ended" and e.detail == "lease"]
     troubled = {e.machine for e in events if e.what in ("hung", "lost")}
-    cut = any(t.kind in ("zone_cut",) for t in TROUBLES[trouble])
     avoidable = sum(
-        e.machine not in troubled and not cut
+        e.machine not in troubled and "zone_cut" not in troubles
         and sum(e.at - LEASE_S < at < e.at for at in served) > LEASE_S / 2 + 2 * REPORT_S
         for e in killed
     )
@@ -137,7 +138,6 @@
         return next((at - ended for at, n, of in renewed if n > 0 and n >= least * of),
                     float("inf"))
 
-    all_ended = any(t.kind == "crash_all" for t in TROUBLES[trouble])
     recovered = [
         round(s, 1) if all_ended else 0.0
         for s in (answered(0.0), after("accepted"), after("started"), answered(0.95))
--- a/ryegauge/queues/admission.py
+++ b/ryegauge/queues/admission.py
@@ -53,7 +53,6 @@
         self, weights: Mapping[str, float], at_once: int, open_: Callable[[str], bool],
         next_may: Callable[[], bool], pause_s: float,
     ) -> None:
-        self._weights = weights
         self._turns = FairTurns(weights)
         self._free = at_once
         self._open = open_
--- a/ryegauge/queues/serving.py
+++ b/ryegauge/queues/serving.py
@@ -49,7 +49,7 @@
         self._leaving = False  # the subscription's end is under way
         self._asked = 0  # the prefetch of the subscription
         self._subscribed = 0  # how often on this connection
-        self._confirms: dict[int, tuple[trio.Event, list[bool], str]] = {}
+        self._confirms: dict[int, tuple[trio.Event, list[bool]]] = {}
         self._returned: set[str] = set()  # ids of messages that no queue took
         self._in_hand: dict[int, Delivery] = {}
 
@@ -94,7 +94,7 @@
                 self.meter.window = 0
                 for tag in list(self._in_hand):
                     self._done(tag)
-                for done, _, _ in self._confirms.values():
+                for done, _ in self._confirms.values():
                     done.set()
 
     def _give_up(self) -> None:
@@ -184,7 +184,7 @@
         name = str(properties.message_id)
         self._returned.discard(name)
         done, good = trio.Event(), list[bool]()
-        self._confirms[tag] = (done, good, name)
+        self._confirms[tag] = (done, good)
         self._session.flush()
         await done.wait()
         if name in self._returned:
--- a/ryegauge/transport/http.py
+++ b/ryegauge/transport/http.py
@@ -247,9 +247,7 @@
             raise Reset(type(error).__name__) from None
         except ConnectionRefusedError as error:
             raise Refused(str(error)) from None
-        except ConnectionResetError as error:
-            raise Reset(str(error)) from None
-        except h11.RemoteProtocolError as error:
+        except (ConnectionResetError, h11.RemoteProtocolError) as error:
             raise Reset(str(error)) from None
         except (OSError, Malformed) as error:
             raise Unreachable(str(error)) from None
