Lost state: a bound on waiting, values that no longer fit, one line for operators

Need: one controller that does not put back, or one record from the time of larger values, would have kept all others waiting for good; a worker's nonsense token would have used up the eras.

Change: after four terms the era goes on without whoever does not put back; what does not fit is left out; tokens of eras beyond the last are passed over. A leader whose book does not show its last allotment reads at once instead of at its next turn. The era's log line names who put back.

--- a/ryegauge/coordination/leading.py
+++ b/ryegauge/coordination/leading.py
@@ -43,7 +43,10 @@
                     # What was just allotted looks open in this book, and would be given to
                     # another part as well: nothing guards against that. (Found by the model
                     # of `tests/test_era_model.py`: the read after an allotment had failed.)
-                    self._desk.syncer.poke()
+                    try:
+                        await self._desk.syncer.fresh()
+                    except Unavailable as error:
+                        log.debug("reading after an allotment: %s", error)
                     continue
                 wanted = leader.round(now, self._desk.wall())
                 took_s = trio.current_time() - now
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -379,7 +379,7 @@
 
     def acquit(self, key: TaskKey, attempt: int) -> None:
         """Its record is not lost: it is stopped, as is everything that is not ours."""
-        del self.strays[key, attempt]
+        self.strays.pop((key, attempt), None)
         self._acquitted.add((key, attempt))
 
     def is_stray(self, key: TaskKey) -> bool:
--- a/ryegauge/coordination/rebuild.py
+++ b/ryegauge/coordination/rebuild.py
@@ -10,7 +10,15 @@
 import trio
 
 from ryegauge.bookkeeping.budget import SOON, URGENT
-from ryegauge.bookkeeping.eras import ERA_KEY, HOLDING, PUTTING_BACK, REBUILT, era_in, era_token
+from ryegauge.bookkeeping.eras import (
+    ERA_KEY,
+    HOLDING,
+    LAST_ERA,
+    PUTTING_BACK,
+    REBUILT,
+    era_in,
+    era_token,
+)
 from ryegauge.bookkeeping.jobbook import Job, final_key
 from ryegauge.bookkeeping.state import Conflict, Event, Put
 from ryegauge.coordination.desk import RETRY, Desk
@@ -75,6 +83,8 @@
 
     def token_shown(self, token: int) -> None:
         """By a worker: if it is above every revision that there is, time has gone back."""
+        if era_in(token) > LAST_ERA:
+            return  # no controller gave it that
         if token > era_token(self._desk.book.era, self._desk.book.ledger):
             self._highest = max(self._highest, token)
             self._desk.syncer.poke()
@@ -128,7 +138,7 @@
                 if self._desk.syncer.began_at <= seen_at:
                     self._desk.syncer.poke()
                 elif not owner.is_stray(key):
-                    del owner.strays[key, attempt]
+                    owner.strays.pop((key, attempt), None)
                 elif key[0] not in self._desk.book.jobs and (
                     key[0] in self._desk.book.packed
                     or await self._desk.state.get(final_key(key[0]), timeout_s=1.0) is not None
@@ -269,15 +279,24 @@
                     {ERA_KEY: book.era_version, LEADER_KEY: leader.token},
                     [Put(ERA_KEY, record)], timeout_s=1.0, reserve=URGENT,
                 )
-                log.warning(
-                    "era %d: %s; %s", book.era,
-                    "everything stands again" if record["s"] == REBUILT
-                    else "what nobody knew has time to show",
-                    "nothing that was confirmed is missing" if complete(book, settings.node_names)
-                    else "not all that was confirmed can be known",
-                )
+                log.warning("%s", self._told(record["s"] == REBUILT))
                 await self._desk.syncer.fresh()
 
+    def _told(self, over: bool) -> str:
+        """For operators: what was lost, who put back, and what is not known."""
+        book, names = self._desk.book, self._desk.settings.node_names
+        what = "the service went back" if book.era_kind == "history" else "records were lost"
+        back = {name: saw for name, (era, saw) in book.back.items() if era == book.era}
+        who = ", ".join(f"{n}{'' if saw else ' (did not see it)'}" for n, saw in back.items())
+        missing = ", ".join(name for name in names if name not in back)
+        return (
+            f"era {book.era}: {what}; put back by {who}"
+            + (f", not by {missing}" if missing else "")
+            + ("; everything stands again" if over else "; what nobody knew has time to show")
+            + ("; nothing that was confirmed is missing" if complete(book, names)
+               else "; not all that was confirmed can be known")
+        )
+
     async def _put_back(self) -> bool:
         """Whether the book lacks nothing of what we kept."""
         kept = self.noticing.kept
--- a/ryegauge/rebuilding/merging.py
+++ b/ryegauge/rebuilding/merging.py
@@ -71,7 +71,16 @@
             writes += _shares(job, of, book)
     writes += _outcomes(kept, book, over, limits, name)
     writes += _needed(kept, book)
-    return writes
+    return [write for write in writes if not too_large(write, limits)]
+
+
+def too_large(write: Write, limits: Limits) -> bool:
+    """Whether it was recorded when larger values were allowed: it would be refused again and
+    again, and keep everything else waiting."""
+    return any(
+        isinstance(change, Put) and value_bytes(change.value) > limits.value_bytes
+        for change in write.changes
+    )
 
 
 def _by_job(kept: Kept) -> dict[str, _Of]:
--- a/ryegauge/rebuilding/stages.py
+++ b/ryegauge/rebuilding/stages.py
@@ -9,6 +9,9 @@
 from ryegauge.bookkeeping.jobbook import JobBook
 from ryegauge.rebuilding.noticing import Kind
 
+# After so many terms one that has enrolled and does not put back is waited for no longer.
+PATIENCE_TERMS = 4.0
+
 
 def first_record(found: Any, known: int, kind: Kind, name: str) -> dict[str, Any] | None:
     """The record that begins an era above all that are known; None: one has begun already."""
@@ -38,7 +41,7 @@
     record = {"e": book.era, "k": book.era_kind, "v": book.era_start}
     if book.era_stage == PUTTING_BACK:
         back = {name for name, (era, _) in book.back.items() if era == book.era}
-        if not back >= set(book.nodes):
+        if not back >= set(book.nodes) and begun_s < PATIENCE_TERMS * term_s:
             return None
         if complete(book, names):
             return {**record, "s": REBUILT, "c": True}
