Lost state: a leader keeps what it had learnt across an era; tests in fewer words

Need: a leader of a new era knew no fleet and no run times, and rents nothing until the cloud has listed its machines again. Change: it takes over what it led with before, as after a fence.

--- a/ryegauge/coordination/desk.py
+++ b/ryegauge/coordination/desk.py
@@ -43,6 +43,9 @@
         self.term = Term(settings, self.state, self.book, self.syncer, lambda: self.unique(48))
         self.owned: dict[int, PartOwner] = {}
         self.leader: Leader | None = None
+        # What we led with before an era began: what it had learnt of fleet and run times stays
+        # true, and a leader that knew neither would rent nothing until the cloud lists again.
+        self.former: Leader | None = None
         self.overheard = Overheard(2 * shared.workers.lease_s)
         self.changed = trio.Event()  # something that owners or the leader should look at
         self.to_tell: dict[str, int] = {}  # revisions that the peers should read
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -158,8 +158,10 @@
         if self._desk.leader is None and token is not None:
             log.info("leading under token %d", token)
             self._desk.leader = Leader(
-                token, self._desk.book, self._desk.settings, now, self._types, former
+                token, self._desk.book, self._desk.settings, now, self._types,
+                former or self._desk.former,
             )
+            self._desk.former = None
         if self._desk.book.ledger != self._seen:
             self._seen = self._desk.book.ledger
             self._desk.wake()
--- a/ryegauge/coordination/rebuild.py
+++ b/ryegauge/coordination/rebuild.py
@@ -77,7 +77,7 @@
 
     def _stop(self) -> None:
         self._desk.owned.clear()
-        self._desk.leader = None
+        self._desk.former, self._desk.leader = self._desk.leader, None
 
     # -- evidence from elsewhere ----------------------------------------------------------
 
--- a/ryegauge/emulator/state.py
+++ b/ryegauge/emulator/state.py
@@ -42,6 +42,7 @@
         self.refused_writes = 0  # for their size or number
         self.too_fast = 0  # requests and changes answered 429
         self.writes = 0  # changes executed
+        self.requests = 0  # that were not answered 503
         self._leases = 0
         # What it was at times before, to go back to; kept for so long, if at all.
         self.history_s = 0.0
@@ -103,6 +104,7 @@
         self.expire()
         if self.outage:
             return Reply(503, {"error": "trouble"})
+        self.requests += 1
         if self._requests is not None and not self._requests.try_take(reserve=0.0):
             self.too_fast += 1
             return Reply(429, {"error": "too many requests"})
--- a/ryegauge/experiments/loss.py
+++ b/ryegauge/experiments/loss.py
@@ -93,6 +93,8 @@
     jobs_lost: int  # accepted, not over, and not known any more at the end of the day
     changed: int  # jobs of which another outcome was told later
     broken: int
+    requests: int  # to the state service, and changes, over the day
+    changes: int
     served: float  # least share of the tasks of a class or a team
     least: str  # which one
 
@@ -191,7 +193,7 @@
         round(stages.get(REBUILT, float("inf")) - AT_S, 2),
         len(mine), len(mine) - len(killed), len(killed), len(again), len(forgotten),
         len({line.split()[2] for line in played.broken if "went_back" in line}),
-        len(played.broken), served, least,
+        len(played.broken), world.state.requests, world.state.writes, served, least,
     )
 
 
@@ -220,7 +222,7 @@
         some = [r for r in rows if r[:5] == key]
         entry: dict[str, Any] = dict(zip(Loss._fields[:5], key, strict=True))
         entry["days"] = len(some)
-        for name in Loss._fields[6:18]:
+        for name in Loss._fields[6:20]:
             values = [getattr(r, name) for r in some]
             entry[name] = round(max(values), 2) if name.endswith("_s") else sum(values)
         entry["served"], entry["least"] = min((r.served, r.least) for r in some)
--- a/tests/test_era_model.py
+++ b/tests/test_era_model.py
@@ -1,11 +1,9 @@
-"""Every order of reads, writes, losses and restarts, to a stated depth, with the real decisions:
-when an era begins and ends, what is put back, what is taken in.
+"""Every order of reads, writes, losses and restarts, to a stated depth, with the real decisions.
 
 A state service that goes back to any earlier revision or is emptied, up to twice; two controllers,
-each with a part and a worker, the first of which lives through it all while the second may start
-anew; one job of one task; a user who submits, cancels and asks. What is modelled as one step: a
-read (it finds any contradiction, as `Noticing` does), a transaction, a command with its answer.
-"""
+each with a part and a worker, the second of which may start anew; one job of one task; a user who
+submits, cancels and asks. One step is a read (it finds any contradiction, as `Noticing` does), a
+transaction, or a command with its answer."""
 
 from collections.abc import Iterator
 from functools import lru_cache
@@ -63,11 +61,9 @@
 
 
 def remembered(kept: Kept) -> int:
-    for n, other in enumerate(KEPT):
-        if other == kept:
-            return n
-    KEPT.append(kept)
-    return len(KEPT) - 1
+    if kept not in KEPT:
+        KEPT.append(kept)
+    return KEPT.index(kept)
 
 
 @lru_cache(100_000)
--- a/tests/test_noticing.py
+++ b/tests/test_noticing.py
@@ -1,5 +1,4 @@
-"""Whether data was lost: never said of a service that is merely slow, always found by the read
-after."""
+"""That data was lost: never said of a slow service, always found by the next read."""
 
 from typing import Any
 
@@ -79,8 +78,7 @@
 
 @given(before=st.integers(2, 12), back=st.integers(1, 12), after=st.integers(0, 15))
 def test_another_history_is_found_by_the_next_read(before: int, back: int, after: int) -> None:
-    """However far it went back and has grown since: suspicion with the first read, verdict with
-    the second, and the book holds what it held."""
+    """However far it went back and has grown since; the book holds what it held."""
     w = Watched()
     for n in range(before):
         w.write(n)
--- a/tests/test_snapshots.py
+++ b/tests/test_snapshots.py
@@ -14,18 +14,9 @@
 from ryegauge.cli import main
 from ryegauge.config import ConfigError, load, load_properties
 from ryegauge.protocol.jobs import parse_job
+from ryegauge.rebuilding import snapshots
 from ryegauge.rebuilding.records import Kept, Known
-from ryegauge.rebuilding.snapshots import (
-    About,
-    Unusable,
-    decoded,
-    encoded,
-    fleet_of,
-    name_of,
-    outdated,
-    proof,
-    unaccounted,
-)
+from ryegauge.rebuilding.snapshots import About, Unusable, decoded, encoded, proof
 
 VALUES = st.recursive(
     st.none() | st.booleans() | st.integers(0, 2**60) | st.text(max_size=8) | st.floats(0, 1e9),
@@ -92,21 +83,21 @@
     assert "era 2" in proof(snapshot._replace(about=ABOUT), book_of(both, 99))
     # That a job is not there proves nothing until it is looked for among those that left.
     assert proof(snapshot, book_of({}, 9)) == ""
-    assert list(unaccounted(snapshot, book_of({}, 9))) == ["wk-000001", "wk-2"]
-    assert list(unaccounted(snapshot, book_of(both, 9))) == ["wk-2"]
+    assert list(snapshots.unaccounted(snapshot, book_of({}, 9))) == ["wk-000001", "wk-2"]
+    assert list(snapshots.unaccounted(snapshot, book_of(both, 9))) == ["wk-2"]
 
 
 def test_the_newest_are_kept() -> None:
-    names = [name_of(ABOUT._replace(at=at)) for at in (5.0, 100.0, 20.0, 1_700_000_000.0)]
-    assert outdated([*names, "other"], 3) == [names[0]]
+    names = [snapshots.name_of(ABOUT._replace(at=at)) for at in (5.0, 100.0, 20.0, 1_700_000_000.0)]
+    assert snapshots.outdated([*names, "other"], 3) == [names[0]]
 
 
 def test_the_command(tmp_path: Path) -> None:
     config = tmp_path / "settings.toml"
     config.write_text(settings_text())
-    about = ABOUT._replace(fleet=fleet_of(load(config)))
+    about = ABOUT._replace(fleet=snapshots.fleet_of(load(config)))
     kept = Kept({"r/j/a": Known({"at": 1}, 0, 5)}, {"b": ("done", 3)}, False)
-    good, bad = tmp_path / name_of(about), tmp_path / "0-node-1.ryegauge"
+    good, bad = tmp_path / snapshots.name_of(about), tmp_path / "0-node-1.ryegauge"
     data = b"".join(encoded(about, kept))
     good.write_bytes(data)
     bad.write_bytes(data[:-1])
