--- a/ryegauge/coordination/rebuild.py
+++ b/ryegauge/coordination/rebuild.py
@@ -30,7 +30,7 @@
 from ryegauge.rebuilding.adopting import Stray, adopted
 from ryegauge.rebuilding.merging import Limits, Write, grouped, to_put_back
 from ryegauge.rebuilding.noticing import Noticing
-from ryegauge.rebuilding.stages import complete, first_record, next_record
+from ryegauge.rebuilding.stages import complete, first_record, my_turn, next_record
 
 if TYPE_CHECKING:
     from ryegauge.coordination.snapshotting import Disk, Snapshotting
@@ -254,7 +254,11 @@
             return
         marked = term.put_back is not None and term.put_back[0] == book.era
         if book.era_stage == PUTTING_BACK and not marked:
-            if await self._put_back():
+            settings = self._desk.settings
+            if my_turn(
+                book, settings.node_names, settings.node_name, now - term.era_since,
+                settings.term_s,
+            ) and await self._put_back():
                 kept = self.noticing.kept
                 term.mark_back(kept is not None and kept.lived)
                 log.info(
--- a/ryegauge/rebuilding/stages.py
+++ b/ryegauge/rebuilding/stages.py
@@ -13,6 +13,25 @@
 PATIENCE_TERMS = 4.0
 
 
+# How long one that has not enrolled is waited for, in terms.
+ABSENT_TERMS = 0.25
+
+
+def my_turn(
+    book: JobBook, names: Sequence[str], name: str, begun_s: float, term_s: float
+) -> bool:
+    """Controllers put back one after the other: most know the same, and all at once they spent
+    the changes that the service takes on conflicts. (Found by `experiment loss`: 29 s with five
+    of them, 6 s with one.)"""
+    for earlier in names[: names.index(name)]:
+        if earlier in book.back and book.back[earlier][0] == book.era:
+            continue
+        patience = PATIENCE_TERMS / 2 if earlier in book.nodes else ABSENT_TERMS
+        if begun_s < patience * term_s:
+            return False
+    return True
+
+
 def first_record(found: Any, known: int, kind: Kind, name: str) -> dict[str, Any] | None:
     """The record that begins an era above all that are known; None: one has begun already."""
     standing = found["e"] if isinstance(found, dict) else 0
--- a/tests/test_merging.py
+++ b/tests/test_merging.py
@@ -17,7 +17,7 @@
 from ryegauge.rebuilding.adopting import Stray, adopted
 from ryegauge.rebuilding.merging import Limits, Write, grouped, to_put_back
 from ryegauge.rebuilding.records import keep
-from ryegauge.rebuilding.stages import complete, first_record, next_record
+from ryegauge.rebuilding.stages import complete, first_record, my_turn, next_record
 
 PARTS = 2
 TASKS = 4
@@ -295,6 +295,11 @@
 
     era("history", {"a": True, "b": True}, ["a", "b", "c"])
     assert record(10.0) is None  # one that lives has not
+    turns = [my_turn(book, names, name, 1.0, 5.0) for name in names]
+    assert turns == [True, True, True]
+    era("history", {}, ["a", "c"])
+    assert [my_turn(book, names, name, 1.0, 5.0) for name in names] == [True, False, False]
+    assert [my_turn(book, names, name, 10.0, 5.0) for name in names] == [True, True, True]
     era("history", {"a": True, "b": True, "c": True}, names)
     assert record(0.5) == {"e": 1, "k": "history", "v": 10, "s": REBUILT, "c": True}
     era("history", {"a": True, "b": True}, ["a", "b"])
