Guests are served: a limit of 0 is none; what has ended is no sign of lost data

Cause: the settings name a guest team with zeros, and DEPLOY says that 0 means none. Change: Team.most_cpus and most_gpus, without limit where the settings say 0; an attempt that has ended is no evidence.

--- a/ryegauge/config.py
+++ b/ryegauge/config.py
@@ -1,5 +1,6 @@
 """The platform's settings file (TOML) and the operators' properties, both checked."""
 
+import math
 import os
 import tomllib
 from pathlib import Path
@@ -34,6 +35,17 @@
     gpus: NonNegative = 0.0
     gpus_max: NonNegative = 0.0
 
+    @property
+    def most_cpus(self) -> float:
+        """What its tasks may use at any time. 0 in the settings means that there is no such
+        limit: guests are named with zeros and have their jobs accepted. (Taken for a limit of
+        nothing, 587 of 872 submissions of a recorded day were answered 422.)"""
+        return self.cpus_max or math.inf
+
+    @property
+    def most_gpus(self) -> float:
+        return self.gpus_max or math.inf
+
 
 class Objective(msgspec.Struct, frozen=True, rename={"job_class": "class"}):
     kind: str
@@ -246,7 +258,7 @@
         except ValueError as error:
             raise ConfigError(f"{path}: {key}: {error}") from None
     for team in settings.settings.teams:
-        if team.cpus > team.cpus_max or team.gpus > team.gpus_max:
+        if team.cpus > team.most_cpus or team.gpus > team.most_gpus:
             raise ConfigError(
                 f"{path}: settings.teams ({team.name}): the guarantee must not exceed the maximum"
             )
--- a/ryegauge/coordination/allotting.py
+++ b/ryegauge/coordination/allotting.py
@@ -1,6 +1,7 @@
 """Who gets room: jobs in their order of precedence, within their teams' limits, and what
 their parts' shares become. Pure functions of the book."""
 
+import math
 from collections.abc import Callable
 from typing import Any
 
@@ -75,7 +76,7 @@
             tracks_zones(spec),
         ))
     spare = {
-        name: Spare(team.cpus_max - used_cpus[name], team.gpus_max - used_gpus[name])
+        name: Spare(team.most_cpus - used_cpus[name], team.most_gpus - used_gpus[name])
         for name, team in teams.items()
     }
     holding = [] if fleet is None else holdings(book, urgencies, fleet)
@@ -87,12 +88,8 @@
         spec = job.spec
         team = teams[spec.team]
         count = left[uid] if most is None else min(left[uid], most)
-        if spec.cpus > 0:
-            free = team.cpus_max - used_cpus[team.name]
-            count = min(count, int((free + EPSILON) // spec.cpus))
-        if spec.gpus > 0:
-            free = team.gpus_max - used_gpus[team.name]
-            count = min(count, int((free + EPSILON) // spec.gpus))
+        count = _within(count, spec.cpus, team.most_cpus - used_cpus[team.name])
+        count = _within(count, spec.gpus, team.most_gpus - used_gpus[team.name])
         zones = zone_limits(job)
         if count <= 0 or (spec.kind == "gang" and count < left[uid]):
             continue
@@ -105,6 +102,13 @@
     return needs, open_jobs
 
 
+def _within(count: int, each: float, free: float) -> int:
+    """How many of so many tasks fit into what their team may still use."""
+    if each <= 0 or free == math.inf:
+        return count
+    return min(count, int((free + EPSILON) // each))
+
+
 class FleetSize:
     """What all running machines have together."""
 
--- a/ryegauge/coordination/needs.py
+++ b/ryegauge/coordination/needs.py
@@ -117,9 +117,9 @@
     if team is None:
         return "unknown team"
     copies = 1 if spec.kind == "sweep" else spec.tasks
-    if spec.cpus * copies > team.cpus_max + EPSILON:
+    if spec.cpus * copies > team.most_cpus + EPSILON:
         return "needs more CPUs than the team's limit"
-    if spec.gpus * copies > team.gpus_max + EPSILON:
+    if spec.gpus * copies > team.most_gpus + EPSILON:
         return "needs more cards than the team's limit"
     for type_ in types.values():
         if (
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -312,7 +312,7 @@
             if task is None:
                 # The record no longer has it with us: its outcome is durable, unless the
                 # record is one that was lost.
-                if not self._is_stray(machine, key, attempt, now, entry.why == "done"):
+                if not self._is_stray(machine, key, entry, now):
                     commands += forget
             elif mine and entry.why == "done":
                 self._finish(task, machine, now)
@@ -330,7 +330,7 @@
             else:
                 commands += forget
             return
-        if task is None and self._is_stray(machine, key, attempt, now, False):
+        if task is None and self._is_stray(machine, key, entry, now):
             return
         if task is None or not mine:
             commands.append(Kill(key, attempt, 0.0))
@@ -351,7 +351,7 @@
             commands.append(Kill(key, attempt, 0.0))
 
     def _is_stray(
-        self, machine: Machine, key: TaskKey, attempt: int, now: float, done: bool
+        self, machine: Machine, key: TaskKey, entry: TaskReport, now: float
     ) -> bool:
         """Whether a task that no share gives us may yet turn out to be ours, since its record
         was lost. If nothing was lost there is none: a share holds a task until it is surely
@@ -360,21 +360,26 @@
             return False
         job = self._book.jobs.get(key[0])
         open_ = job is not None and job.is_open(key[1])
+        attempt = entry.attempt
         if self._rebuilding:
             if self._stage == PUTTING_BACK:
                 return True
             is_stray = open_
         else:
             # Only one begun by an authority before ours, in this era: what is left of earlier
-            # ones had its time to be adopted.
+            # ones had its time to be adopted. One that has ended proves nothing: handed back,
+            # its task is open by the book until the worker has heard `forget`. (Found by a
+            # recorded day: a task that was stopped for others after a takeover had a healthy
+            # service taken for one that had lost data.)
             token = attempt >> 20
             earlier = token != self.token and era_in(token) == era_in(self.token)
             known = (key, attempt) in self._acquitted
-            is_stray = earlier and not done and not known and (open_ or job is None)
+            ended = entry.state == "ended"
+            is_stray = earlier and not ended and not known and (open_ or job is None)
         if is_stray:
             zone = machine.zone if job is not None and tracks_zones(job.spec) else ""
             seen_at = self.strays[key, attempt][0] if (key, attempt) in self.strays else now
-            self.strays[key, attempt] = (seen_at, zone, done)
+            self.strays[key, attempt] = (seen_at, zone, entry.why == "done")
         return is_stray
 
     def acquit(self, key: TaskKey, attempt: int) -> None:
--- a/ryegauge/coordination/shares.py
+++ b/ryegauge/coordination/shares.py
@@ -68,7 +68,7 @@
         used[job.spec.team] = used.get(job.spec.team, 0.0) + cpus
     return {
         team.name for team in settings.settings.teams
-        if used.get(team.name, 0.0) > FULL_SHARE * team.cpus_max
+        if used.get(team.name, 0.0) > FULL_SHARE * team.most_cpus
     }
 
 
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -323,3 +323,24 @@
     assert value_bytes(record) <= 1900
     assert parse_job(record["s"]).tasks == spec.tasks
     assert record["x"] is True
+
+
+@pytest.mark.parametrize("why", ["stopped", "error"])
+def test_what_was_handed_back_is_no_sign_of_lost_data(settings: Settings, why: str) -> None:
+    """A task of an authority before ours is stopped for others and handed back; the worker
+    shows it until it has heard `forget`, while the book has the task open again."""
+    part = Part(settings, [1])
+    part.owner = PartOwner(
+        0, TOKEN, part.book, settings, lambda: TYPES, part.now, looks_for_strays=True
+    )
+    part.book.on_job.append(part.owner.on_job)
+    before = ((TOKEN - 9) << 20) + 1
+    part.report((1, before, "running"))
+    part.owner.evict("m-1", UID, 1)
+    part.report((1, before, "ended"), why=why)
+    part.allot([])
+    assert part.report((1, before, "ended"), why=why) == [Forget((UID, 1), before)]
+    assert part.owner.strays == {}
+    # One that runs and that no share holds is.
+    part.report((1, before, "running"))
+    assert set(part.owner.strays) == {((UID, 1), before)}
