A process that is back at once waits for its port and claims after it listens

Need: an ended process may be back within a fraction of a second. A port still in use ended the new process, again and again; and roles of the predecessor were claimed before the addresses were ours, though it is its end that the claim rests on. Change: listening comes first and retries for half a lease; the emulator's restarts take any time.

--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -95,12 +95,21 @@
         settings = self._desk.settings
         log.info("%s is starting, one of %d", settings.node_name, settings.settings.nodes)
         async with trio.open_nursery() as nursery:
+            # First: what our predecessor held is claimed since it has ended, and whose
+            # addresses are ours has ended.
+            for address, handler, share in (
+                (settings.listen, self._handle_public, 0.8),
+                (settings.mesh_addr, self._mesh.handle, 0.1),
+            ):
+                listening = trio.Event()
+                nursery.start_soon(self._serve, address, handler, share, listening.set)
+                await listening.wait()
             for loop in loops:
                 nursery.start_soon(self._guarded, loop)
-            nursery.start_soon(self._serve, settings.listen, self._handle_public, 0.8)
-            nursery.start_soon(self._serve, settings.mesh_addr, self._mesh.handle, 0.1)
 
-    async def _serve(self, address: str, handler: Handler, share: float) -> None:
+    async def _serve(
+        self, address: str, handler: Handler, share: float, listening: Callable[[], None]
+    ) -> None:
         sockets = self._desk.settings.settings.quota.max_connections
         await self._desk.network.serve(
             address,
@@ -109,6 +118,7 @@
             # Peers call less often than anybody; a pause must not look like a loss.
             idle_s=2 * self._desk.idle_s,
             request_s=self._desk.settings.settings.workers.lease_s / 2,
+            listening=listening,
         )
 
     async def _guarded(self, loop: Callable[[], Awaitable[None]]) -> None:
--- a/ryegauge/emulator/network.py
+++ b/ryegauge/emulator/network.py
@@ -3,6 +3,7 @@
 
 import random
 import time
+from collections.abc import Callable
 from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import Any
@@ -120,8 +121,12 @@
     def client(self, address: str, *, max_connections: int, idle_s: float) -> "HostClient":
         return HostClient(self._network, self._host, address)
 
-    async def serve(self, address: str, handler: Handler, **_: object) -> None:
+    async def serve(
+        self, address: str, handler: Handler, *, max_connections: int, idle_s: float,
+        request_s: float, listening: Callable[[], None] = lambda: None,
+    ) -> None:
         self._network.handlers[address] = handler
+        listening()
         try:
             await trio.sleep_forever()
         finally:
--- a/ryegauge/emulator/world.py
+++ b/ryegauge/emulator/world.py
@@ -23,7 +23,7 @@
 from ryegauge.transport.http import Network, Unreachable
 
 WALL = 1_700_000_000.0
-RESTART_S = 4.0  # after which a controller that ended is started again
+RESTART_S = 4.0  # after which a controller that ended is started again, as a rule
 
 # Makes a controller of settings, network, clock and randomness.
 Program = Callable[..., Any]
@@ -45,6 +45,7 @@
         self, settings: list[Settings], seed: int, *,
         fleet: tuple[FleetType, ...] = SMALL_FLEET, state: StateService | None = None,
         poll_s: tuple[float, float] = (1.0, 3.0), resubmits: float = 0.1,
+        restart_s: float = RESTART_S,
     ) -> None:
         self.settings = settings
         shared = settings[0].settings
@@ -74,6 +75,7 @@
         self.wall_errors: list[float] = [0.0 for _ in settings]
         self.nursery: trio.Nursery
         self._poll_s, self._resubmits = poll_s, resubmits
+        self.restart_s = restart_s
         self._machines = 0
         self._restarts = 0
 
@@ -146,7 +148,7 @@
                 )
                 self.nodes[n] = node
                 await node.run()
-            await trio.sleep(RESTART_S)
+            await trio.sleep(self.restart_s)
 
     def crash(self, *numbers: int) -> None:
         for n in numbers:
--- a/ryegauge/transport/http.py
+++ b/ryegauge/transport/http.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 with CBOR bodies: h11 over trio streams, for servers and clients."""
 
+import errno
 import io
 import logging
 import math
@@ -63,8 +64,10 @@
 
     async def serve(
         self, address: str, handler: Handler, *, max_connections: int, idle_s: float,
-        request_s: float,
-    ) -> None: ...
+        request_s: float, listening: Callable[[], None] = ...,
+    ) -> None:
+        """`listening` is called once the address is ours."""
+        ...
 
 
 def split_address(text: str) -> tuple[str, int]:
@@ -81,12 +84,12 @@
 
     async def serve(
         self, address: str, handler: Handler, *, max_connections: int, idle_s: float,
-        request_s: float,
+        request_s: float, listening: Callable[[], None] = lambda: None,
     ) -> None:
         server = Server(
             handler, max_connections=max_connections, idle_s=idle_s, request_s=request_s
         )
-        await server.serve(*split_address(address))
+        await server.serve(*split_address(address), listening)
 
 
 def decode(data: bytes) -> Any:
@@ -125,10 +128,25 @@
         self._idle_s = idle_s
         self._request_s = request_s
 
-    async def serve(self, host: str, port: int) -> None:
-        listeners = await trio.open_tcp_listeners(port, host=host, backlog=256)
+    async def serve(
+        self, host: str, port: int, listening: Callable[[], None] = lambda: None
+    ) -> None:
+        listeners = await self._listen(host, port)
+        listening()
         await trio.serve_listeners(self._connection, listeners)
 
+    async def _listen(self, host: str, port: int) -> list[trio.SocketListener]:
+        """A process that ended may be back within a fraction of a second, before its port is
+        free: that is waited for, within bounds, instead of ending again and again."""
+        until = trio.current_time() + self._request_s
+        while True:
+            try:
+                return await trio.open_tcp_listeners(port, host=host, backlog=256)
+            except OSError as error:
+                if error.errno != errno.EADDRINUSE or trio.current_time() >= until:
+                    raise
+            await trio.sleep(self._request_s / 100)
+
     async def _connection(self, stream: trio.SocketStream) -> None:
         if self._free <= 0:
             # Sockets are kept for the controller's own calls: a flood is shed here.
--- /dev/null
+++ b/tests/test_back_at_once.py
@@ -0,0 +1,113 @@
+"""Controllers that are back within a fraction of a second of their end, while their
+predecessor's lease, roles and messages are still on their way."""
+
+import errno
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+from days import play
+from test_rebuilding_days import rebuilding
+from test_world import MIX, PIPES, some_controllers
+
+from ryegauge.config import Settings
+from ryegauge.emulator.world import World
+from ryegauge.transport.http import Reply, Server
+
+
+def as_deployed(tmp_path: Path, count: int) -> list[Settings]:
+    return rebuilding(tmp_path, count)
+
+
+async def ends(world: World, back_s: float) -> None:
+    """An owner, the leader, all; then each again and again; in an outage; beside a cut."""
+    world.restart_s = back_s
+    await trio.sleep(30.0)
+    for numbers in ((1,), (0,), range(len(world.settings))):
+        world.crash(*numbers)
+        await trio.sleep(6.0)
+    for n in range(10):
+        world.crash(*(range(len(world.settings)) if n % 3 == 2 else (n % len(world.settings),)))
+        await trio.sleep(2.0)
+    world.state.outage = True
+    await trio.sleep(3.0)
+    world.crash(0, 1)
+    await trio.sleep(4.0)
+    world.state.end_outage()
+    with world.cut_zones(hold=True):
+        await trio.sleep(3.0)
+        world.crash(1)
+        await trio.sleep(6.0)
+        world.crash(0, 1)
+        await trio.sleep(4.0)
+
+
+@pytest.mark.parametrize(("back_s", "count", "seed"), [
+    (0.05, 3, 1), (0.2, 5, 2), (0.8, 3, 3), (0.05, 5, 4), (0.2, 3, 5),
+])
+def test_rules_hold(tmp_path: Path, back_s: float, count: int, seed: int) -> None:
+    async def script(world: World) -> None:
+        await ends(world, back_s)
+
+    world = play(as_deployed(tmp_path, count), seed, MIX + PIPES, script, 320.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    # A short absence is no reason to take roles away from anybody for long, nor to run again.
+    kills = [e for e in world.happened if e.what == "ended" and e.detail == "lease"]
+    assert len(kills) < 40
+
+
+def test_starts_together_stay_within_the_budget(tmp_path: Path) -> None:
+    """All five start at once, ten times: what they read stays within the service's rate."""
+
+    async def script(world: World) -> None:
+        world.restart_s = 0.05
+        await trio.sleep(30.0)
+        for _ in range(10):
+            world.crash(*range(5))
+            await trio.sleep(2.0)
+
+    settings = [
+        msgspec.structs.replace(each, settings=msgspec.structs.replace(
+            each.settings, state=msgspec.structs.replace(each.settings.state, rps=80.0)))
+        for each in some_controllers(tmp_path, 5)
+    ]
+    world = play(settings, 8, MIX, script, 160.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+
+
+def test_a_port_that_is_still_in_use_is_waited_for(monkeypatch: pytest.MonkeyPatch) -> None:
+    """A process that started 0.05 s after its predecessor's end ended itself, since the port
+    was not free yet, and was started again, and so on."""
+    tries: list[float] = []
+
+    async def open_tcp_listeners(port: int, **_: object) -> list[trio.SocketListener]:
+        tries.append(trio.current_time())
+        if len(tries) < 4 or port == 2:
+            raise OSError(errno.EADDRINUSE, "in use")
+        return []
+
+    async def serve_listeners(*_: object) -> None:
+        pass
+
+    monkeypatch.setattr(trio, "open_tcp_listeners", open_tcp_listeners)
+    monkeypatch.setattr(trio, "serve_listeners", serve_listeners)
+
+    async def handle(method: str, target: str, body: bytes) -> Reply:
+        return Reply(200)
+
+    server = Server(handle, max_connections=1, idle_s=1.0, request_s=5.0)
+    listening: list[float] = []
+
+    async def main() -> None:
+        await server.serve("h", 1, lambda: listening.append(trio.current_time()))
+        assert listening
+        assert tries[3] - tries[0] < 0.5
+        with pytest.raises(OSError, match="in use"):  # within bounds
+            await server.serve("h", 2)
+        assert tries[-1] - listening[0] >= 5.0
+        assert len(tries) < 120
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
