Mistaken jobs are told from bad machines and held back

Change: detection/blame.py; owners tell the leader which jobs fail on several sound machines with nothing done, the leader has one task tried, ever more seldom, and rents nothing for it. Machines are given up for failing what runs elsewhere, unless so many do that they have a cause in common. A report that an error of ours cut short does not count as taken in.

--- a/ryegauge/coordination/allotting.py
+++ b/ryegauge/coordination/allotting.py
@@ -10,6 +10,7 @@
 from ryegauge.config import Team
 from ryegauge.coordination.needs import make_need, task_sizes, tracks_zones, zone_limits
 from ryegauge.coordination.urgency import Urgencies
+from ryegauge.detection.blame import HeldBack
 from ryegauge.ordering.model import Holding, Policy, Spare, Waiting
 from ryegauge.protocol.jobs import JobSpec
 from ryegauge.scheduling.estimates import Estimates
@@ -49,9 +50,11 @@
 def open_needs(
     book: JobBook, teams: dict[str, Team], urgencies: Urgencies, estimates: Estimates,
     within_guarantee: set[str], policy: Policy, running: list[Room], wall: float,
+    held: HeldBack, now: float,
 ) -> tuple[list[Need], dict[str, Job]]:
     """Open tasks within their team's limits, in the policy's order of precedence. A job
-    may come twice, with some of its tasks and with the rest."""
+    may come twice, with some of its tasks and with the rest. Of one that is held back a
+    single task comes, or a gang, when its time has come; nothing is rented for it."""
     used_cpus: dict[str, float] = dict.fromkeys(teams, 0.0)
     used_gpus: dict[str, float] = dict.fromkeys(teams, 0.0)
     open_jobs: dict[str, Job] = {}
@@ -60,7 +63,10 @@
         name = job.spec.team
         used_cpus[name] = used_cpus.get(name, 0.0) + n * job.spec.cpus
         used_gpus[name] = used_gpus.get(name, 0.0) + n * job.spec.gpus
-        if not job.over and job.ready and job.open_tasks and name in teams:
+        if (
+            not job.over and job.ready and job.open_tasks and name in teams
+            and held.wait_s(uid, now) <= 0
+        ):
             open_jobs[uid] = job
     fleet = FleetSize(running) if policy.ages else None
     waiting: list[Waiting] = []
@@ -83,11 +89,17 @@
     needs: list[Need] = []
     sizes = task_sizes(book)
     left = {job.uid: job.open for job in waiting}
+    probed: set[str] = set()
     for uid, most, hold_s in policy.order(waiting, holding, spare, wall):
         job = open_jobs[uid]
         spec = job.spec
         team = teams[spec.team]
         count = left[uid] if most is None else min(left[uid], most)
+        if uid in held:
+            if uid in probed:
+                continue
+            probed.add(uid)
+            count = count if spec.kind == "gang" else 1
         count = _within(count, spec.cpus, team.most_cpus - used_cpus[team.name])
         count = _within(count, spec.gpus, team.most_gpus - used_gpus[team.name])
         zones = zone_limits(job)
@@ -98,6 +110,7 @@
         left[uid] -= count
         need = make_need(job, count, zones, estimates, urgencies.latest_finish(job), sizes)
         need.hold_s, need.due = hold_s, most is not None
+        need.rents = uid not in held
         needs.append(need)
     return needs, open_jobs
 
--- a/ryegauge/coordination/held.py
+++ b/ryegauge/coordination/held.py
@@ -35,7 +35,7 @@
 class Machine:
     __slots__ = (
         "address", "alive", "direct", "heard_at", "idle_since", "images", "name", "notice_at",
-        "probes", "retiring", "spot", "stamp", "strikes", "tasks", "trusted", "type", "zone",
+        "probes", "retiring", "spot", "stamp", "tasks", "trusted", "type", "zone",
     )
 
     def __init__(self, report: Report, now: float) -> None:
@@ -53,7 +53,6 @@
         self.probes: list[Probe] = []  # since it was heard
         self.notice_at: float | None = None  # when the cloud takes it away
         self.retiring = False
-        self.strikes = 0
         self.idle_since = now
         self.images: dict[str, float] = {}  # presumed cached, most recently used last
         self.tasks: set[TaskKey] = set()  # tasks whose place this is
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -7,7 +7,7 @@
 import logging
 import math
 from collections import Counter
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 import msgspec
@@ -20,7 +20,8 @@
 from ryegauge.coordination.rooms import critical_tasks, missed_tasks, running_rooms, take_in_transit
 from ryegauge.coordination.silences import Silences
 from ryegauge.coordination.urgency import Urgencies
-from ryegauge.coordination.views import Views
+from ryegauge.coordination.views import PartState, Views
+from ryegauge.detection.blame import HeldBack
 from ryegauge.detection.verdicts import Verdict
 from ryegauge.ordering import policy_of
 from ryegauge.protocol.cloud import ListedMachine, MachineType
@@ -30,6 +31,10 @@
 
 log = logging.getLogger(__name__)
 
+# One task of a job that fails everywhere is tried after a lease, then ever more seldom, at
+# least after so many.
+LONGEST_PAUSE_LEASES = 8.0
+
 
 @dataclass(slots=True)
 class Round:
@@ -65,6 +70,10 @@
         self._policy = policy_of(settings)
         self._preemption = Preemption(book, settings, self.estimates, self._policy)
         self._urgencies = Urgencies(book, settings, self.estimates, ())
+        lease_s = settings.settings.workers.lease_s
+        self._held: HeldBack = (
+            HeldBack(lease_s, LONGEST_PAUSE_LEASES * lease_s) if former is None else former._held
+        )
 
     def on_view(self, view: PartView, now: float) -> PartOrders:
         self._silences.take_in(view, now)
@@ -96,6 +105,7 @@
         running = running_rooms(self._book, self.fleet, views, self.estimates, now)
         verdicts = self._silences.verdicts(self.fleet, views, now)
         take_in_transit(self._book, self.estimates, running, views)
+        self._hold_back(views, now)
         within = within_guarantee(self._book, self._teams, lambda job: job.ready_at)
         self._urgencies = Urgencies(self._book, self._settings, self.estimates, types.values())
         # A team's urgent jobs have its guarantee too, whatever came earlier.
@@ -104,7 +114,7 @@
         )
         needs, jobs = open_needs(
             self._book, self._teams, self._urgencies, self.estimates, within | first,
-            self._policy, running, wall,
+            self._policy, running, wall, self._held, now,
         )
         market = Market(
             types=types,
@@ -127,6 +137,8 @@
             self._logged_at = now
             self._log(decided, jobs, running, market)
             self._log_silent(verdicts)
+            if self._held:
+                log.info("held back: %s", self._held.describe(now))
             if due:
                 log.info(
                     "due by age: %d tasks of %d jobs, first %s since %.0f s",
@@ -142,6 +154,24 @@
         )
         return result
 
+    def _hold_back(self, views: dict[int, PartState], now: float) -> None:
+        self._held.keep(
+            lambda uid: (job := self._book.live.get(uid)) is not None
+            and not job.over and not job.done_count
+        )
+        told = [f for state in views.values() for f in state.failing if f.uid in self._book.live]
+        for uid, machines, tries in self._held.told(told, now):
+            log.warning(
+                "%s is held back: its tasks failed %d times on %d machines and none was done; "
+                "one is tried after %.0f s, then ever more seldom, until it succeeds or its user "
+                "cancels it", uid, tries, machines, self._held.wait_s(uid, now),
+            )
+
+    def allotted(self, uids: Iterable[str], now: float) -> None:
+        """Tasks of these jobs were given to parts."""
+        for uid in uids:
+            self._held.tried(uid, now)
+
     def _cut_off(self, types: dict[str, MachineType]) -> set[tuple[str, str, bool]]:
         """What is rented in a zone that nothing is heard of could not be used either."""
         return {
--- a/ryegauge/coordination/leading.py
+++ b/ryegauge/coordination/leading.py
@@ -79,6 +79,7 @@
                 ledger = await self._desk.state.commit(guards, changes, timeout_s=1.0)
                 self._wrote_at = trio.current_time()
                 self._desk.tell_owners(ledger, {part for (_, part), _ in batch})
+                leader.allotted({uid for (uid, _), _ in batch}, self._wrote_at)
                 written += len(changes)
             except Unknown:
                 # It may still be executed. A new version of the leader's own record
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -19,6 +19,7 @@
 from ryegauge.coordination.held import Machine, Phase, Task
 from ryegauge.coordination.needs import make_need, task_sizes, tracks_zones
 from ryegauge.coordination.showing import Showing, Signature
+from ryegauge.detection.blame import Blame
 from ryegauge.detection.hearing import Attention, Hearing, is_deaf
 from ryegauge.detection.verdicts import SUSPECT_GAPS, Probe
 from ryegauge.protocol.cloud import MachineType
@@ -95,7 +96,9 @@
         # at everything again for each would take most of the time.
         self.revision = 0
         self._showing = Showing()
-        self._failures: dict[str, set[str]] = {}  # job -> machines it failed on, until one succeeds
+        self._blame = Blame(self._any_done)
+        self._faulty: set[str] = set()  # machines that are to be given up
+        self._blamed_at = now
         for uid in list(book.live):
             self._reconcile(uid, "unseen")
 
@@ -134,7 +137,6 @@
             self._by_job[uid] = wanted
         else:
             self._by_job.pop(uid, None)
-            self._failures.pop(uid, None)
         if job is not None and job.cancelled:
             for key in wanted:
                 self._withdraw(self.tasks[key])
@@ -185,29 +187,48 @@
 
     def _finish(self, task: Task, machine: Machine, now: float) -> None:
         machine.tasks.discard(task.key)
-        machine.strikes = 0
+        self._blame.succeeded(task.key[0], machine.name)
+        self._reassess()
         job = self._book.jobs.get(task.key[0])
         if job is not None and task.running_since is not None and job.spec.estimate_s > 0:
             took = max(0.1, now - task.running_since)
             ratio = math.log(took / job.spec.estimate_s)
             count, total, squares = self._samples.get(job.spec.job_class, (0, 0.0, 0.0))
             self._samples[job.spec.job_class] = (count + 1, total + ratio, squares + ratio**2)
-        self._failures.pop(task.key[0], None)
         task.machine = None
         self._leave(task, done=True)
 
     def _fail(self, task: Task, machine: Machine, now: float) -> None:
-        """A task failed. A machine that fails tasks of jobs which run elsewhere is
-        faulty; a job that fails on several machines and succeeded on none is at fault
-        itself, and is retried ever more slowly without blame for the machines."""
+        """A task failed, by its own fault or its machine's."""
         task.errors.add(machine.name)
-        failed_on = self._failures.setdefault(task.key[0], set())
-        failed_on.add(machine.name)
-        if len(failed_on) <= 2:
-            machine.strikes += 1
+        self._blame.failed(*task.key, machine.name, len(task.errors))
+        self._reassess()
         report_s = self._settings.settings.workers.report_s
         task.not_before = now + min(60.0, report_s * 2 ** len(task.errors)) - report_s
 
+    def _any_done(self, uid: str) -> bool:
+        job = self._book.jobs.get(uid)
+        return job is not None and job.done_count > 0
+
+    def _reassess(self) -> None:
+        faulty = self._blame.faulty(len(self.machines))
+        if faulty != self._faulty:
+            if new := faulty - self._faulty:
+                log.info("faulty, to be given up: %s", ", ".join(sorted(new)))
+            self._faulty = faulty
+            self.revision += 1
+
+    def _hold_back(self, uid: str) -> None:
+        """A job that fails on every machine: what of it has not started is handed back, and
+        the leader has one task tried now and then. (Before, each of its tasks was tried again
+        and again on each machine: 4,789 times on a day with 15 such jobs.)"""
+        for key in list(self._by_job.get(uid, ())):
+            task = self.tasks[key]
+            if task.phase == "placed" and not task.sent:
+                self._end(task)
+            if task.phase == "free":
+                self._leave(task, done=False)
+
     # -- reports --------------------------------------------------------------------
 
     def on_report(self, report: Report, now: float, checkin: bool = True) -> list[Command]:
@@ -251,8 +272,14 @@
             self.revision += 1
         machine.alive = alive
         commands: list[Command] = []
-        for (key, attempt), entry in reported.items():
-            self._reported(machine, key, attempt, entry, now, commands)
+        try:
+            for (key, attempt), entry in reported.items():
+                self._reported(machine, key, attempt, entry, now, commands)
+        except Exception:
+            # An error of ours: what the report shows was not all taken in, so it must not
+            # count as one. (Counted, unseen tasks that it showed were started elsewhere.)
+            machine.trusted = False
+            raise
         for key in sorted(machine.tasks):
             task = self.tasks[key]
             if task.phase == "placed" and not task.withdrawn and not machine.retiring:
@@ -317,11 +344,14 @@
             elif mine and entry.why == "done":
                 self._finish(task, machine, now)
             elif mine:
-                if entry.why == "error" and not task.withdrawn:
+                failed = entry.why == "error" and not task.withdrawn
+                if failed:
                     self._fail(task, machine, now)
                 if entry.why == "unknown":
                     task.not_before = now + self._settings.settings.workers.report_s
                 self._end(task)
+                if failed and self._blame.mistaken(key[0]):
+                    self._hold_back(key[0])
                 commands += forget
             elif entry.why == "done":
                 if task.phase == "free":
@@ -515,6 +545,10 @@
 
     def tick(self, now: float, wall: float) -> None:
         self._hearing.attention.look(now)
+        if now - self._blamed_at > self._settings.settings.workers.lease_s:
+            self._blamed_at = now
+            self._blame.keep(self._book.live, self.machines)
+            self._reassess()
         for machine in list(self.machines.values()):
             if now > machine.heard_at + self.lease_s:
                 # Its lease has run out: it killed everything and begins a new session.
@@ -572,7 +606,7 @@
             machine.trusted
             and not machine.retiring
             and machine.notice_at is None
-            and machine.strikes < 2
+            and machine.name not in self._faulty
             and silent < 2 * self._settings.report_gap_s
         )
 
@@ -595,7 +629,10 @@
             open_rooms = [room for room in rooms if room.name not in avoid] if avoid else rooms
             queue = iter(keys)
             # The leader has decided between kinds of machine by giving the task here.
-            for room, count in place(need, open_rooms, steady_only=False):
+            taken = place(need, open_rooms, steady_only=False)
+            if avoid and need.count:
+                taken += place(need, rooms, steady_only=False)  # failed there before, or nowhere
+            for room, count in taken:
                 for _ in range(count):
                     self._start(self.tasks[next(queue)], room.name)
             for key in queue:
@@ -635,6 +672,7 @@
             node, self.part, self.token, self._book.ledger, machines, samples,
             self._showing.seq, self._showing.acknowledged, gone, list(leaving.items()),
             list(overheard), self._silences(machines, now),
+            list(self._blame.failing()),
         )
 
     def _silences(
@@ -672,7 +710,7 @@
             empty=m.trusted and not tasks,
             silent_s=now - m.heard_at,
             notice=m.notice_at is not None,
-            retiring=m.retiring or m.strikes >= 2,
+            retiring=m.retiring or m.name in self._faulty,
             images=list(m.images),
             tasks=tasks,
         )
@@ -684,7 +722,7 @@
         running = sum(self.tasks[key].running_since is not None for key in m.tasks)
         return (
             m.trusted, self._takes_tasks(m, now), m.notice_at is not None,
-            m.retiring or m.strikes >= 2,
+            m.retiring or m.name in self._faulty,
             silent if silent > 2 * self._settings.report_gap_s else 0.0,
             running, frozenset(self._occupants(m)), tuple(m.images),
         )
--- a/ryegauge/coordination/views.py
+++ b/ryegauge/coordination/views.py
@@ -8,6 +8,7 @@
 from ryegauge.bookkeeping.jobbook import Job, JobBook
 from ryegauge.bookkeeping.ranges import Ranges
 from ryegauge.config import Settings
+from ryegauge.detection.blame import Failing
 from ryegauge.protocol.peers import MachineView, PartView
 
 
@@ -44,7 +45,7 @@
 class PartState:
     """What the leader knows of a part: whole views, and changes to them since."""
 
-    __slots__ = ("at", "leaving", "machines", "node", "seq", "silences", "since",
+    __slots__ = ("at", "failing", "leaving", "machines", "node", "seq", "silences", "since",
                  "token")
 
     def __init__(self, node: str, token: int, since: float) -> None:
@@ -56,6 +57,7 @@
         self.machines: dict[str, Shown] = {}
         # Silent machine -> (seconds that its owner stood still, attempts to ask it).
         self.silences: dict[str, tuple[float, list[tuple[str, str, float]]]] = {}
+        self.failing: list[Failing] = []  # jobs that fail wherever they are tried
         self.leaving: dict[str, int] = {}  # job -> tasks that are nowhere, not yet written
 
 
@@ -80,6 +82,7 @@
             return None
         state.seq, state.at, state.leaving = view.seq, now, dict(view.leaving)
         state.silences = {name: (stood_s, probes) for name, stood_s, probes in view.silences}
+        state.failing = [Failing(*entry) for entry in view.failing]
         for name in view.gone:
             state.machines.pop(name, None)
         for machine in view.machines:
--- a/ryegauge/protocol/peers.py
+++ b/ryegauge/protocol/peers.py
@@ -65,6 +65,9 @@
     # seconds in which the owner stood still itself, attempts to ask the worker as (by whom,
     # outcome, seconds ago)).
     silences: list[tuple[str, float, list[tuple[str, str, float]]]] = []
+    # Jobs taken for mistaken: (uid, machines on which their tasks failed, how often). Versions
+    # before these are told from bad machines neither send nor read it.
+    failing: list[tuple[str, int, int]] = []
 
 
 class Probe(msgspec.Struct, frozen=True, array_like=True, tag="probe"):
--- a/ryegauge/scheduling/planner.py
+++ b/ryegauge/scheduling/planner.py
@@ -93,6 +93,7 @@
     # If it finds no room, machines that come free within so long are held for it.
     hold_s: float = 0.0
     due: bool = False  # goes first for its age
+    rents: bool = True  # if not, it takes running room or comes again later
 
     def path_s(self, type_: MachineType, cached: bool = False) -> float:
         """The critical path on a type: the fetch and the longest remaining task."""
@@ -401,7 +402,7 @@
             now_full.note(need)
         for room, count in taken:
             result.placements.append(Placement(need.uid, count, room.name, room.part, room.zone))
-        if need.count <= 0:
+        if need.count <= 0 or not need.rents:
             continue
         result.unplaced.append((need.uid, need.count))
         boot_s = max((t.boot_s for t in market.types.values()), default=0.0)
--- /dev/null
+++ b/tests/test_blame.py
@@ -0,0 +1,118 @@
+"""Blame of jobs and machines against a slow plain model and against the injected truth."""
+
+import random
+from itertools import pairwise
+
+import pytest
+
+from ryegauge.detection.blame import SEVERAL, SHARED_OUTAGE, Blame, Failing, HeldBack
+
+Event = tuple[str, int, str, bool, int]  # job, task, machine, done, machines of the task
+
+
+class Plain:
+    """The definitions, worked out anew from all that ever happened."""
+
+    def __init__(self, events: list[Event]) -> None:
+        self.events = events
+        self.good = {uid for uid, _, _, done, _ in events if done}
+
+    def failed_on(self, uid: str) -> set[str]:
+        return {m for u, _, m, done, _ in self.events if u == uid and not done}
+
+    def looks_faulty(self, machine: str) -> bool:
+        here = [e for e in self.events if e[2] == machine]
+        last = max((i for i, e in enumerate(here) if e[3]), default=-1)
+        since = [e for e in here[last + 1 :] if e[4] <= SEVERAL]
+        others = {(uid, task) for uid, task, *_ in since if uid in self.good}
+        alone = {
+            uid for uid, *_ in since
+            if uid not in self.good and self.failed_on(uid) == {machine}
+        }
+        return len(others) >= SEVERAL or len(alone) >= SEVERAL
+
+    def mistaken(self, uid: str) -> bool:
+        if uid in self.good:
+            return False
+        return sum(not self.looks_faulty(m) for m in self.failed_on(uid)) >= SEVERAL
+
+    def faulty(self, machines: list[str]) -> set[str]:
+        found = {m for m in machines if self.looks_faulty(m)}
+        return found if len(found) <= max(1, int(SHARED_OUTAGE * len(machines))) else set()
+
+
+@pytest.mark.parametrize("seed", range(12))
+def test_blame_against_the_definitions_and_the_truth(seed: int) -> None:
+    rng = random.Random(seed)
+    machines = [f"m-{n}" for n in range(24)]
+    jobs = [f"wk-{n}" for n in range(30)]
+    bad_jobs = set(rng.sample(jobs, seed % 5))
+    bad_machines = set(rng.sample(machines, seed % 4))
+    events: list[Event] = []
+    done: set[str] = set()
+    failed: dict[tuple[str, int], set[str]] = {}
+    blame = Blame(done.__contains__)
+    given_up: set[str] = set()
+    for _ in range(700):
+        uid, task = rng.choice(jobs), rng.randrange(6)
+        if blame.mistaken(uid) and rng.random() < 0.9:
+            continue
+        errors = failed.setdefault((uid, task), set())
+        open_ = [m for m in machines if m not in given_up | errors] or machines
+        machine = rng.choice(open_)
+        good = uid not in bad_jobs and machine not in bad_machines
+        if good:
+            done.add(uid)
+            blame.succeeded(uid, machine)
+        else:
+            errors.add(machine)
+            blame.failed(uid, task, machine, len(errors))
+        events.append((uid, task, machine, good, len(errors)))
+        plain = Plain(events)
+        assert blame.faulty(len(machines)) == plain.faulty(machines)
+        assert blame.mistaken(uid) == plain.mistaken(uid)
+        given_up |= blame.faulty(len(machines))
+    assert given_up == bad_machines
+    assert {uid for uid in jobs if blame.mistaken(uid)} == bad_jobs
+
+
+def test_a_shared_outage_gives_no_machine_up() -> None:
+    done = {f"wk-{n}" for n in range(5)}
+    blame = Blame(done.__contains__)
+    machines = [f"m-{n}" for n in range(10)]
+    for n, machine in enumerate(machines):
+        for task in range(3):
+            blame.failed(f"wk-{n % 5}", task, machine, 1)
+    assert blame.faulty(len(machines)) == set()
+    for machine in machines[2:]:
+        blame.succeeded("wk-1", machine)
+    assert blame.faulty(len(machines)) == {"m-0", "m-1"}
+
+
+def test_a_task_that_fails_everywhere_in_a_job_that_is_partly_done() -> None:
+    blame = Blame({"wk-1"}.__contains__)
+    for n in range(12):
+        blame.failed("wk-1", 7, f"m-{n}", n + 1)
+        blame.failed("wk-1", 8, f"m-{n}", n + 1)
+    assert blame.faulty(12) == {"m-0", "m-1"}  # bad luck at most, and not the fleet
+    assert not blame.mistaken("wk-1")
+
+
+def test_tries_of_a_job_that_is_held_back() -> None:
+    held = HeldBack(14.0, 112.0)
+    assert held.told([Failing("wk-1", 2, 5), Failing("wk-1", 1, 4)], 100.0) == [
+        Failing("wk-1", 3, 9)
+    ]
+    assert held.told([Failing("wk-1", 3, 9)], 110.0) == []
+    now, tries = 100.0, []
+    while now < 700.0:
+        now += 0.5
+        if held.wait_s("wk-1", now) <= 0:
+            tries.append(now - 100.0)
+            held.tried("wk-1", now)
+    # Ever more seldom, and never not at all.
+    assert tries[:4] == [14.0, 42.0, 98.0, 210.0]
+    assert {b - a for a, b in pairwise(tries[3:])} == {112.0}
+    assert held.wait_s("wk-2", now) == 0.0
+    held.keep(lambda uid: False)
+    assert len(held) == 0
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -255,25 +255,44 @@
     assert part.owner.tasks[(UID, 0)].machine is None
 
 
-def test_faulty_machines_and_faulty_jobs(part: Part) -> None:
-    """A machine that fails twice in a row gets no more; a job that fails on several
-    machines is retried more slowly, and does not bring down every machine."""
+def test_a_job_that_fails_everywhere_is_handed_back(part: Part) -> None:
+    """One that fails on several machines is held back and brings down none of them; what is
+    given for a try is tried once."""
     attempt = part.start(0)
     part.report((0, attempt, "ended"), why="error")
-    assert part.owner.machines["m-1"].strikes == 1
-    for name in ("m-2", "m-3", "m-4"):
-        part.now += 61.0
-        part.report(machine=name)
-        part.tick()
-        task = part.owner.tasks[(UID, 0)]
-        assert task.machine == name
-        part.report((0, task.attempt, "ended"), machine=name, why="error")
-        assert task.not_before > part.now
-    assert part.owner.machines["m-4"].strikes == 0
-    # Two different jobs' tasks failing in a row are the machine's fault.
-    machine = part.owner.machines["m-4"]
-    machine.strikes = 2
-    assert not part.owner.view("node-0", 1, part.now).machines[-1].open
+    assert part.phase(0) == "free"
+    part.now += 61.0
+    part.report(machine="m-2")
+    part.tick()
+    task = part.owner.tasks[(UID, 0)]
+    assert task.machine == "m-2"  # and not where it failed
+    part.allot([0, 1, 2])
+    part.report((0, task.attempt, "ended"), machine="m-2", why="error")
+    assert [part.phase(i) for i in (0, 1, 2)] == ["leaving"] * 3
+    view = part.owner.view("node-0", 1, part.now)
+    assert view.failing == [(UID, 2, 2)]
+    assert all(machine.open for machine in view.machines)
+    part.allot([])
+    part.allot([3])
+    part.tick()
+    part.report(machine="m-2")
+    task = part.owner.tasks[(UID, 3)]
+    assert task.phase == "placed"
+    part.report((3, task.attempt, "ended"), machine=task.machine or "", why="error")
+    assert task.phase == "leaving"
+
+
+def test_a_machine_that_fails_what_runs_elsewhere_is_given_up(part: Part) -> None:
+    attempt = part.start(0)
+    part.report((0, attempt, "ended"), why="done")
+    part.allot([1, 2], done=[0])
+    part.tick()
+    runs = [c for c in part.report() if isinstance(c, Run)]
+    assert len(runs) == 2
+    part.report(*((run.task[1], run.attempt, "ended") for run in runs), why="error")
+    (machine,) = part.owner.view("node-0", 1, part.now).machines
+    assert machine.retiring
+    assert not machine.open
 
 
 def test_a_share_that_grew_too_large_is_moved_out_piece_by_piece(settings: Settings) -> None:
@@ -344,3 +363,30 @@
     # One that runs and that no share holds is.
     part.report((1, before, "running"))
     assert set(part.owner.strays) == {((UID, 1), before)}
+
+
+def test_a_report_that_was_not_taken_in_does_not_count(
+    settings: Settings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """An error of ours in the midst of a report: tasks further on in it are still there."""
+    part = Part(settings, [0, 1])
+    before = ((TOKEN - 9) << 20) + 1
+
+    def fail(*_: object) -> None:
+        raise RuntimeError("an error of ours")
+
+    with monkeypatch.context() as patch:
+        patch.setattr(part.owner, "_reported", fail)
+        with pytest.raises(RuntimeError):
+            part.report((0, before, "running"))
+    for _ in range(3):
+        part.tick(5.0)
+        assert part.phase(0) == "unseen"
+        with monkeypatch.context() as patch:
+            patch.setattr(part.owner, "_reported", fail)
+            with pytest.raises(RuntimeError):
+                part.report((0, before, "running"))
+    part.report((0, before, "running"))
+    part.tick()
+    assert part.phase(0) == "seen"
+    assert part.phase(1) == "placed"
