Questions: outcomes are asked for together, ends answered at once; refusals spread

Change: bookkeeping/finals.py asks for many records with one transaction that changes nothing, begun after the question; what is over by the book is answered without a read, in an outage too; Retry-After of 429 is spread. A job that was cancelled while held back is no longer announced again and again.

--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -13,6 +13,7 @@
 
 from ryegauge.bookkeeping.budget import SOON
 from ryegauge.bookkeeping.eras import PUTTING_BACK
+from ryegauge.bookkeeping.finals import Finals
 from ryegauge.bookkeeping.jobbook import (
     Job,
     JobBook,
@@ -80,7 +81,9 @@
         wrote: Callable[[int], None],
         submitted: Callable[[int], None],
         wall: Callable[[], float],
+        luck: Callable[[], float] = lambda: 0.5,
     ) -> None:
+        """`luck`, from 0 to 1, spreads those who are told to come again."""
         self._settings = settings
         self._state = state
         self._book = book
@@ -89,6 +92,7 @@
         self._wrote = wrote
         self._submitted = submitted
         self._wall = wall
+        self._luck = luck
         self._teams = {team.name: team for team in settings.settings.teams}
         self._queue: list[_Submission] = []
         self._queued = trio.Event()
@@ -96,8 +100,8 @@
         self._queue_limit = max(12, int(2 * state.writes.rate))
         self._waiting = 0
         self._limits = settings.state_limits
-        # Outcomes that were read, the latest last; they never change.
-        self._finals: dict[str, Outcome] = {}
+        memory_mb = settings.settings.quota.memory_mb
+        self._finals = Finals(state, self._limits.conditions, int(FINALS_PER_MB * memory_mb))
         # What was cancelled here of late: told to peers that cannot read it.
         self.cancellations: deque[tuple[float, str]] = deque(maxlen=1000)
         # Until then nobody is told that a job was never accepted: it may have been lost.
@@ -109,7 +113,7 @@
         parts = path.partition("?")[0].strip("/").split("/")
         # A flood of questions is refused early: answers would come too late anyway.
         if self._waiting >= self._settings.settings.quota.max_connections // 4:
-            return Reply(429, {"error": "too many requests"}, 2.0)
+            return Reply(429, {"error": "too many requests"}, self._later_s())
         if self._book.era_stage == PUTTING_BACK:
             return _busy("what the state service lost is being put back")
         self._waiting += 1
@@ -127,6 +131,10 @@
             self._waiting -= 1
         return Reply(404, {"error": "no such path"})
 
+    def _later_s(self) -> float:
+        """Not all at the same moment."""
+        return 1.0 + 3.0 * self._luck()
+
     # -- submissions -----------------------------------------------------------------
 
     async def _submit(self, body: bytes) -> Reply:
@@ -159,15 +167,17 @@
                 return Reply(200, view)
             return Reply(422, {"error": why})
         if len(self._queue) >= self._queue_limit:
-            return Reply(429, {"error": "too many submissions"}, 2.0)
+            return Reply(429, {"error": "too many submissions"}, self._later_s())
         # A user waits 5 s; whoever writes gives up sooner and says so.
         with trio.move_on_after(4.0):
-            if (refused := await self._prepare(spec)) is not None:
+            # Outcomes of the jobs that it needs, of those that have left the book.
+            outcomes: dict[str, Outcome] = {}
+            if (refused := await self._prepare(spec, outcomes)) is not None:
                 return refused
-            return await self._record(spec, beside)
+            return await self._record(spec, beside, outcomes)
         return _busy("the job could not be recorded")
 
-    async def _prepare(self, spec: JobSpec) -> Reply | None:
+    async def _prepare(self, spec: JobSpec, outcomes: dict[str, Outcome]) -> Reply | None:
         """What keeps a new job from being recorded, if anything does."""
         bare = job_record(msgspec.structs.replace(spec, needs=None), self._wall(), False)
         why, status = "", 422
@@ -175,7 +185,7 @@
             why, status = "the names in it are too long to be recorded", 400
         elif spec.needs and spec.uid in spec.needs:
             why = "awaits itself"
-        elif spec.needs and (unknown := await self._unknown(spec.needs)) is not None:
+        elif spec.needs and (unknown := await self._unknown(spec.needs, outcomes)):
             why = f"awaits {unknown}, which was never accepted"
         if not why:
             return None
@@ -183,32 +193,29 @@
             return Reply(200, view)
         return Reply(status, {"error": why})
 
-    async def _unknown(self, needs: tuple[str, ...]) -> str | None:
+    async def _unknown(self, needs: tuple[str, ...], outcomes: dict[str, Outcome]) -> str:
         """The first of the names that no job was accepted under, by a read that began
         after the question; outcomes of jobs outside the book are looked up on the way."""
-        outside = [n for n in needs if n not in self._book.jobs and n not in self._finals]
-        if outside:
-            await self._fresh()
+        if not any(name not in self._book.jobs for name in needs):
+            return ""
+        await self._fresh()
+        outside = [n for n in needs if n not in self._book.jobs and n not in self._book.packed]
+        found = await self._finals.find_all(outside)
+        outcomes.update((name, record["st"]) for name, record in found.items())
         for name in outside:
-            if name in self._book.jobs or name in self._book.packed:
-                continue
-            found = await self._state.get(final_key(name), timeout_s=1.0)
-            if found is None:
-                if name in self._book.jobs:
-                    continue
+            if name not in found and name not in self._book.jobs:
                 if not self._book.era_complete:
                     raise Unavailable("data was lost, and not all of it is known again")
                 return name
-            self._finals[name] = found[0]["st"]
-            if len(self._finals) > FINALS_PER_MB * self._settings.settings.quota.memory_mb:
-                del self._finals[next(iter(self._finals))]
-        return None
+        return ""
 
-    def _new_record(self, spec: JobSpec, at: float) -> tuple[dict[str, Any], list[list[str]]]:
+    def _new_record(
+        self, spec: JobSpec, at: float, finals: dict[str, Outcome]
+    ) -> tuple[dict[str, Any], list[list[str]]]:
         """The record of a new job and, if it cannot hold them, the pieces with the names
         of those that it needs. What is over by now is not named any more: done never
         goes back, and what needs a cancelled job is cancelled from the start."""
-        outcomes = {n: self._book.outcome(n) or self._finals.get(n) for n in spec.needs or ()}
+        outcomes = {n: self._book.outcome(n) or finals.get(n) for n in spec.needs or ()}
         left = tuple(n for n, outcome in outcomes.items() if outcome is None)
         spec = msgspec.structs.replace(spec, needs=left or None)
         if "cancelled" in outcomes.values():
@@ -236,8 +243,10 @@
                 except Conflict as conflict:
                     keys = {k: names for k, names in keys.items() if k not in conflict.failed}
 
-    async def _record(self, spec: JobSpec, beside: tuple[Put, ...]) -> Reply:
-        record, pieces = self._new_record(spec, self._wall())
+    async def _record(
+        self, spec: JobSpec, beside: tuple[Put, ...], outcomes: dict[str, Outcome]
+    ) -> Reply:
+        record, pieces = self._new_record(spec, self._wall(), outcomes)
         if pieces:
             await self._store_pieces(spec.uid, record["w"][0], pieces)
         submission = _Submission(spec.uid, record, beside)
@@ -315,21 +324,23 @@
     # -- questions ------------------------------------------------------------------------
 
     async def _known(self, uid: str) -> dict[str, Any] | None:
-        """The job's state from a read that begins now, or None if it was never accepted."""
+        """The job's state from a read that begins now, or None if it was never accepted. What
+        has an end by the book has it for good, and is answered at once, in an outage too."""
+        if (job := self._book.jobs.get(uid)) is not None and job.over:
+            return job.view()
         await self._fresh()
         if (job := self._book.jobs.get(uid)) is not None:
             return job.view()
         if (packed := self._book.packed.get(uid)) is not None:
             return {"uid": uid, "status": packed[0], "done": packed[1], "running": 0}
-        found = await self._state.get(final_key(uid), timeout_s=1.0)
-        if found is None:
+        record = await self._finals.find(uid)
+        if record is None:
             if uid in self._book.finals:
                 self.lost(final_key(uid))
                 raise Unavailable("a record that was there is lost")
             if not self._book.era_complete or trio.current_time() < self.unknown_before:
                 raise Unavailable("not all that may have been lost is known yet")
             return None
-        record = found[0]
         return {"uid": uid, "status": record["st"], "done": record["d"], "running": 0}
 
     async def _fresh(self) -> None:
--- a/ryegauge/coordination/leader.py
+++ b/ryegauge/coordination/leader.py
@@ -155,11 +155,12 @@
         return result
 
     def _hold_back(self, views: dict[int, PartState], now: float) -> None:
-        self._held.keep(
-            lambda uid: (job := self._book.live.get(uid)) is not None
-            and not job.over and not job.done_count
-        )
-        told = [f for state in views.values() for f in state.failing if f.uid in self._book.live]
+        def may_be_mistaken(uid: str) -> bool:
+            job = self._book.live.get(uid)
+            return job is not None and not job.over and not job.done_count
+
+        self._held.keep(may_be_mistaken)
+        told = [f for state in views.values() for f in state.failing if may_be_mistaken(f.uid)]
         for uid, machines, tries in self._held.told(told, now):
             log.warning(
                 "%s is held back: its tasks failed %d times on %d machines and none was done; "
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -47,7 +47,7 @@
         self._types: dict[str, MachineType] = {}
         self._front = FrontDoor(
             settings, desk.state, desk.book, desk.syncer, lambda: self._types, desk.wrote,
-            desk.tell_leader, wall,
+            desk.tell_leader, wall, rng.random,
         )
         self._other_front = front
         self._mesh = Mesh(desk, self._front)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -429,19 +429,22 @@
         await ask("refused is unknown", "GET", f"{jobs}/wk-782")
         await ask("report", "POST", "/checkin", {"host": "m-1"})
         world.state.outage = True
-        await ask("poll in outage", "GET", f"{jobs}/wk-000001")
+        await ask("poll in outage", "GET", f"{jobs}/wk-000002")
+        await ask("done, in outage", "GET", f"{jobs}/wk-000001")
         await ask("unknown in outage", "GET", f"{jobs}/wk-779")
         await ask("submit in outage", "POST", jobs, job_body("wk-780"))
         await ask("never in outage", "POST", jobs, job_body("wk-781", cpus=99.0))
         await ask("needs in outage", "POST", jobs, job_body("wk-782", awaits=["wk-7"]))
 
-    world = play(controllers, 8, MIX[:1], edges, 45.0)
+    long = {"pieces": 1, "delay": 1.0, "really": 90.0}
+    world = play(controllers, 8, [*MIX[:1], long], edges, 45.0)
     assert world.checker.broken == []
     statuses = {name: status for name, (status, _) in got.items()}
     assert statuses == {
         "map": 400, "missing": 400, "never": 422, "known, malformed": 200,
         "known, never": 200, "unknown": 404, "cancel unknown": 404, "cancel done": 200,
         "path": 404, "report": 400, "poll in outage": 503, "unknown in outage": 503,
+        "done, in outage": 200,
         "submit in outage": 503, "never in outage": 503, "awaits itself": 422,
         "awaits unknown": 422, "awaits malformed": 400, "too long": 400,
         "known, unknown needs": 200, "refused is unknown": 404, "needs in outage": 503,
