Outcomes of tiny jobs of the lowest priority are written together, after urgent ones

Change: shares of best_effort jobs that no other job needs are written after all others, every second report at most unless changes are to spare.

--- a/ryegauge/coordination/outcomes.py
+++ b/ryegauge/coordination/outcomes.py
@@ -26,6 +26,7 @@
         self._desk = desk
         self._date_ends = policy_of(desk.settings).ages
         self._wrote_at: dict[int, float] = {}  # when a part's outcomes were last written
+        self._low_at: dict[int, float] = {}  # the same, of the lowest priority
 
     async def write(self) -> None:
         """Brings the shares in the book to what the owners have seen."""
@@ -52,17 +53,24 @@
             await self._seal(part, owner, bulky)
             return
         limits = self._desk.settings.state_limits
-        urgent = sum(entry.waited_for for entry in pending)
-        if not urgent and now < self._wrote_at.get(part, 0.0) + IDLE_REPORTS * self._desk.report_s:
+        # Many tiny jobs of the lowest priority end one by one; written at once each, they took
+        # the changes that urgent work had to be allotted with.
+        pause_s = IDLE_REPORTS * self._desk.report_s
+        low_too = now >= self._low_at.get(part, 0.0) + pause_s
+        urgent = sum(entry.waited_for and (low_too or not entry.low) for entry in pending)
+        if not urgent and now < self._wrote_at.get(part, 0.0) + pause_s:
             return
         self._wrote_at[part] = now
+        if low_too:
+            self._low_at[part] = now
         count = max(min(urgent, max(1, int(writes.available()))), int(writes.available(IDLE)))
         count = min(count, len(pending), limits.txn_ops)
         if count <= 0:
             return
         guards = {part_key(part): owner.token}
         changes: list[Put | Delete] = []
-        for _, _, uid, share, _ in pending:
+        for entry in pending:
+            uid, share = entry.uid, entry.share
             record = share.to_record()
             # One that was recorded when larger values were allowed waits until enough of
             # its tasks have ended.
--- a/ryegauge/coordination/shares.py
+++ b/ryegauge/coordination/shares.py
@@ -8,7 +8,7 @@
 from ryegauge.bookkeeping.ranges import Ranges
 from ryegauge.config import Settings
 from ryegauge.coordination.held import Task
-from ryegauge.protocol.jobs import MAX_TASKS
+from ryegauge.protocol.jobs import MAX_TASKS, PRIORITIES
 
 # From this share of its limit on a team's work waits for what it holds by the book.
 FULL_SHARE = 0.8
@@ -18,6 +18,7 @@
     """What is to be written of a job's share."""
 
     waited_for: bool  # somebody waits for it
+    low: bool  # nobody but users of the lowest priority
     opens: bool  # perhaps the last that jobs after this one wait for
     uid: str
     share: Share
@@ -31,7 +32,8 @@
 ) -> list[Pending]:
     """The shares as they should be, where they differ from the book: first those
     that give tasks back or are all over, since their users, the leader or the jobs
-    after them wait; then those that shrank. With `wall` their ends are dated."""
+    after them wait, the lowest priority last; then those that shrank. With `wall` their
+    ends are dated."""
     leaving: dict[str, list[Task]] = {uid: [] for uid in bulky}
     for task in over:
         leaving.setdefault(task.key[0], []).append(task)
@@ -55,8 +57,9 @@
             not after.count or len(done) < len(out) or job.spec.team in full
         )
         opens = uid in book.dependents and not after.count
-        result.append(Pending(waited_for, opens, uid, after, pages))
-    result.sort(key=lambda entry: (not entry.waited_for, not entry.opens))
+        low = job.spec.priority == PRIORITIES[-1] and uid not in book.dependents
+        result.append(Pending(waited_for, low, opens, uid, after, pages))
+    result.sort(key=lambda entry: (not entry.waited_for, entry.low, not entry.opens))
     return result
 
 
