--- a/ryegauge/cli/experiment.py
+++ b/ryegauge/cli/experiment.py
@@ -75,8 +75,9 @@
 
     rounds: time and memory of a leader's round with 1,000, 5,000 and 20,000 waiting jobs.
 
-    Exit code 1 if a rule of the protocol was broken; for loss also if less than half of a class
-    or team was served.
+    Exit code 1 if a rule of the protocol was broken; for loss and recovery also if less than half
+    of a class or team was served. `served` is the least share of the tasks of one, `least` whose,
+    `failed` the days on which it was under one half.
     """
     try:
         from rich.console import Console
@@ -195,8 +196,10 @@
         click.echo(json.dumps(rows, indent=2))
     else:
         print_tables(f"Recovery, about {machines} machines", [rows], console)
-    if broken := sum(row["broken"] for row in rows):
+    mine = [row for row in rows if row["version"] == "this"]
+    if broken := sum(row["broken"] for row in mine):
         fail(f"{broken} times a rule was broken", 1)
+    _fail_if_unserved(mine)
 
 
 def _loss(
@@ -232,8 +235,14 @@
     mine = [row for row in rows if row["version"] == "this"]
     if broken := sum(row["broken"] for row in mine):
         fail(f"{broken} times a rule was broken", 1)
-    if poor := [row for row in mine if row["served"] < 0.5]:
-        fail(f"in {len(poor)} cells less than half of {poor[0]['least']} was served", 1)
+    _fail_if_unserved(mine)
+
+
+def _fail_if_unserved(rows: list[dict[str, Any]]) -> None:
+    from ryegauge.experiments.served import LEAST
+
+    if poor := [row for row in rows if row["served"] < LEAST]:
+        fail(f"in {len(poor)} rows less than half of {poor[0]['least']} was served", 1)
 
 
 # Frames after which connections drop: login and subscription take ten, each message a few.
--- a/ryegauge/experiments/day.py
+++ b/ryegauge/experiments/day.py
@@ -69,12 +69,13 @@
     kind: Literal[
         "crash_leader", "crash_all", "state_outage", "clock", "machines_lost", "machines_hang",
         "machines_restart", "spot_taken", "owner_deaf", "zone_cut", "crash_but_one", "away", "roll",
-        "state_back", "state_empty", "state_records",
+        "state_back", "state_empty", "state_records", "boots",
     ]
     lasts_s: Amount = 0.0
     # For `state_back`: how far; with `part` 1 without leases.
-    # For `machines_*` and `spot_taken`: of those that are up.
+    # For `machines_*` and `spot_taken`: of those that are up; for `boots`: that never end.
     part: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
+    times: Positive = 1.0  # for `boots`: as long as usual
     # For `clock`: by how much the controllers' times of day are wrong, at most.
     error_s: Amount = 0.0
 
--- a/ryegauge/experiments/delays.py
+++ b/ryegauge/experiments/delays.py
@@ -8,6 +8,7 @@
 
 from ryegauge.experiments.day import Day, settings_of
 from ryegauge.experiments.play import Played
+from ryegauge.experiments.served import least_served
 from ryegauge.ordering import policy_of
 from ryegauge.ordering.ageing import Ageing
 from ryegauge.protocol.jobs import PRIORITIES
@@ -38,6 +39,8 @@
     useful: float  # cost of the completed runs at the lowest price, of all that was paid
     changes: int  # written to the state service
     broken: list[str]
+    served: float  # least share of the tasks of a class or a team, of the first three quarters
+    least: str  # which one
 
 
 class _Wait(NamedTuple):
@@ -127,6 +130,7 @@
     return DayFigures(
         played.seed, played.ordering, ranks, sum(inversions.values()), aged_starts, lost, useful,
         played.changes, played.broken,
+        *least_served(played.happened, played.bodies, 0.75 * played.seconds),
     )
 
 
--- a/ryegauge/experiments/loss.py
+++ b/ryegauge/experiments/loss.py
@@ -1,6 +1,5 @@
 """Days on which the state service loses data: what is noticed, put back and lost for good."""
 
-from collections import defaultdict
 from collections.abc import Callable
 from typing import Any, NamedTuple
 
@@ -14,6 +13,7 @@
 from ryegauge.experiments.day import Arrivals, Day, Trouble
 from ryegauge.experiments.play import play
 from ryegauge.experiments.recovery import full_fleet
+from ryegauge.experiments.served import least_served
 
 AT_S = 120.0
 DAY_S = 280.0
@@ -182,7 +182,7 @@
         uid for uid in checker.accepted
         if uid not in checker.final and answers.get(uid, (0.0, 0))[1] not in (200, 201)
     ]
-    served, least = _served(world, played.bodies)
+    served, least = least_served(played.happened, played.bodies, DAY_S - LATE_S)
     again = {e.task for e in starts} & {task for _, task in mine}
     return Loss(
         cell.loss, cell.lives, cell.snapshots, cell.meanwhile, version, seed,
@@ -197,24 +197,6 @@
     )
 
 
-def _served(world: World, bodies: dict[str, Any]) -> tuple[float, str]:
-    """The least share of the tasks of a class or a team that are done by the end."""
-    due: dict[str, int] = defaultdict(int)
-    done: dict[str, int] = defaultdict(int)
-    submitted = {e.uid: e.at for e in world.happened if e.what == "submitted"}
-    finished: dict[str, int] = defaultdict(int)
-    for task in world.results:
-        finished[task.rpartition("/")[0]] += 1
-    for uid, body in bodies.items():
-        if submitted.get(uid, DAY_S) > DAY_S - LATE_S:
-            continue
-        for name in (f"class {body['duty']}", f"team {body['crew']}"):
-            due[name] += body["pieces"]
-            done[name] += min(body["pieces"], finished[uid])
-    shares = sorted((round(done[name] / count, 3), name) for name, count in due.items())
-    return shares[0] if shares else (1.0, "")
-
-
 def table(rows: list[Loss]) -> list[dict[str, Any]]:
     """Per cell and version: the worst times, sums of counts, the least served, over seeds."""
     result: list[dict[str, Any]] = []
--- a/ryegauge/experiments/play.py
+++ b/ryegauge/experiments/play.py
@@ -51,6 +51,11 @@
             world.state.lose_all()
         case "state_records":
             world.state.lose_records("r/j/")
+        case "boots":
+            world.slow_zones = {zone for w in world.workers.values() for zone in w.type.zones}
+            world.boot_factor, world.boot_fails = trouble.times, trouble.part
+            await trio.sleep(trouble.lasts_s)
+            world.slow_zones = set()
         case "state_outage":
             world.state.outage = True
             await trio.sleep(trouble.lasts_s)
--- a/ryegauge/experiments/recovery.py
+++ b/ryegauge/experiments/recovery.py
@@ -11,9 +11,11 @@
 from ryegauge.emulator.world import World
 from ryegauge.experiments.day import Arrivals, Day, Installation, TeamSize, Trouble
 from ryegauge.experiments.play import play
+from ryegauge.experiments.served import LEAST, least_served
 
 AT_S = 150.0  # when the trouble begins
 DAY_S = 330.0
+LATE_S = 120.0  # what was submitted later need not have been served by the end of the day
 LEASE_S, REPORT_S = 14.0, 2.5
 CPUS = 8.0  # of a machine
 
@@ -33,6 +35,11 @@
     "taken back": [Trouble(AT_S, "spot_taken", 10.0, part=0.5)],
     "owner deaf": [Trouble(AT_S, "owner_deaf", 25.0)],
     "zone cut": [Trouble(AT_S, "zone_cut", 1.5 * LEASE_S)],
+    "lost 40%, slow boots": [
+        Trouble(AT_S - 1, "boots", 90.0, times=4.0), Trouble(AT_S, "machines_lost", part=0.4)],
+    "lost 40%, lost boots": [
+        Trouble(AT_S - 1, "boots", 90.0, part=0.33), Trouble(AT_S, "machines_lost", part=0.4)],
+    "silent for 70 s": [Trouble(AT_S, "away", 70.0)],
 }
 
 
@@ -85,6 +92,8 @@
     killed: int  # tasks that a lease ended
     avoidable: int  # of these, on machines that a controller could have answered in time
     broken: int
+    served: float  # least share of the tasks of a class or a team
+    least: str  # which one
 
 
 def measure(
@@ -167,6 +176,7 @@
         recovered[0], recovered[1], recovered[2], recovered[3],
         round(max(processors.seconds.get(f"10.0.0.{n}", 0.0) for n in range(1, 6)) / DAY_S, 3),
         len(killed), avoidable, len(played.broken),
+        *least_served(played.happened, played.bodies, DAY_S - LATE_S),
     )
 
 
@@ -176,9 +186,11 @@
     for key in dict.fromkeys((r.trouble, r.version) for r in rows):
         some = [r for r in rows if (r.trouble, r.version) == key]
         entry: dict[str, Any] = {"trouble": key[0], "version": key[1], "days": len(some)}
-        for name in Recovery._fields[3:]:
+        for name in Recovery._fields[3:-2]:
             values = sorted(getattr(r, name) for r in some)
             timed = name.endswith("_s") or name == "core"
             entry[name] = values[len(values) // 2] if timed else sum(values)
+        entry["served"], entry["least"] = min((r.served, r.least) for r in some)
+        entry["failed"] = sum(r.served < LEAST for r in some)
         result.append(entry)
     return result
--- a/ryegauge/experiments/report.py
+++ b/ryegauge/experiments/report.py
@@ -8,6 +8,7 @@
 from rich.table import Table
 
 from ryegauge.experiments.runs import Outcome
+from ryegauge.experiments.served import LEAST
 from ryegauge.protocol.jobs import PRIORITIES
 
 
@@ -45,6 +46,9 @@
             "useful": round(sum(f.useful for f in some) / len(some), 3),
             "changes": round(sum(f.changes for f in some) / len(some)),
             "broken": sum(len(f.broken) for f in some),
+            "served": min(f.served for f in some),
+            "least": min((f.served, f.least) for f in some)[1],
+            "failed": sum(f.served < LEAST for f in some),
         })
     return rows
 
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -138,3 +138,5 @@
     assert got.ranks["high"].worst_s == 19.0
     assert got.ranks["normal"].worst_s == 51.0
     assert got.lost == 0
+    # Of 50 tasks of each of four jobs one was done; of the urgent one none.
+    assert (got.served, got.least) == (0.0, f"class {high['duty']}")
