--- a/ryegauge/scheduling/boots.py
+++ b/ryegauge/scheduling/boots.py
@@ -30,10 +30,15 @@
 OVERDUE_SPREADS = 2.0
 GIVE_UP = 1.5
 LEAST_GIVE_UP = 2.5  # nominal boots
+# Where all are overdue and none has come, that they are slow is a guess: so long at least.
+SLOW_GIVE_UP = 4.0
 MOST_GIVE_UP = 8.0
 # New ones are not expected sooner than this share of the nominal time: a spell in which boots
 # take a second ends without notice, and what is rented for it is paid for.
 LEAST = 0.5
+# Nor much later: all boots of a kind may be slow, or none may come, and neither makes a dearer
+# kind worth any price. (Without it 13 steady machines at ten times the price were rented.)
+MOST = 3.0
 REMEMBERED = 256  # arrivals, by type and zone
 
 
@@ -111,7 +116,7 @@
         if (slow := self._slow.get(kind[:2])) is not None:
             late, value = slow
             mean = max(mean, (PRIOR * mean + late * value) / (PRIOR + late))
-        return nominal_s * min(MOST_GIVE_UP, max(LEAST, math.exp(mean)))
+        return nominal_s * min(MOST, max(LEAST, math.exp(mean)))
 
     def _expected(self, p: Pending, now: float) -> Expected:
         overdue_s = self._overdue_s(p.kind, p.nominal_s, now)
@@ -121,7 +126,8 @@
         if p.kind[:2] in self._slow:
             # As long again as it has taken: nothing is known of how slow they are.
             left_s = max(self._left_s(p, now), p.age_s if p.age_s > overdue_s else 0.0)
-            return Expected(left_s, True, p.age_s > MOST_GIVE_UP * p.nominal_s)
+            give_up_s = max(give_up_s, SLOW_GIVE_UP * p.nominal_s)
+            return Expected(left_s, True, p.age_s > give_up_s)
         return Expected(self._left_s(p, now), p.age_s <= overdue_s, p.age_s > give_up_s)
 
     def _left_s(self, p: Pending, now: float) -> float:
--- a/ryegauge/scheduling/planner.py
+++ b/ryegauge/scheduling/planner.py
@@ -287,8 +287,15 @@
 
     @property
     def longest_boot_s(self) -> float:
-        nominal = max((t.boot_s for t in self.types.values()), default=0.0)
-        return max(self.boots.values(), default=nominal)
+        """Of all types, each where and how it is had soonest."""
+        return max(
+            (
+                min((self.boot_s(t, z, s) for z in t.zones for s in (False, True)),
+                    default=t.boot_s)
+                for t in self.types.values()
+            ),
+            default=0.0,
+        )
 
 
 def standby_rule(run_left_s: float, boot_s: float, latest_finish: float, now: float) -> bool:
