--- a/tests/test_guests.py
+++ b/tests/test_guests.py
@@ -46,3 +46,40 @@
     assert world.unfinished == set()
     # Few run again: less than a tenth of what was submitted.
     assert world.checker.starts < 1.1 * sum(job["pieces"] for job in GUESTS)
+
+
+def test_mistaken_jobs_beside_bad_machines(tmp_path: Path) -> None:
+    """Three jobs that fail on every machine until they are cancelled, and two machines that
+    fail every task: the jobs are tried ever more seldom, only the machines are given up."""
+    jobs: list[dict[str, Any]] = [
+        {"pieces": 6, "delay": 1.0},
+        {"pieces": 8, "delay": 4.0, "broken": True, "cancel_after": 100.0},
+        {"pieces": 8, "delay": 8.0, "broken": True, "cancel_after": 100.0, "crew": "blue"},
+        {"pieces": 1, "delay": 20.0, "broken": True, "cancel_after": 60.0},
+        *({"pieces": 4, "delay": 10.0 + 6 * n, "crew": "blue" if n % 2 else "red"}
+          for n in range(16)),
+    ]
+    faulty: set[str] = set()
+
+    async def script(world: World) -> None:
+        await trio.sleep(40.0)
+        for worker in sorted(world.workers.values(), key=lambda w: w.name):
+            if worker.alive and worker.up and len(faulty) < 2:
+                worker.faulty = True
+                faulty.add(worker.name)
+
+    world = play(with_guest(tmp_path), 6, jobs, script, 260.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    assert {uid for uid, end in world.checker.final.items() if end == "cancelled"} == {
+        "wk-000002", "wk-000003", "wk-000004"}
+    failed: dict[str, int] = {}
+    for e in world.happened:
+        if e.what == "ended" and e.detail == "error":
+            failed[e.uid] = failed.get(e.uid, 0) + 1
+    # A first wave of each, and a few tries: it was eight tasks every two seconds.
+    mistaken = [failed.get(f"wk-00000{n}", 0) for n in (2, 3, 4)]
+    assert min(mistaken) >= 2
+    assert max(mistaken) < 40
+    returned = {e.machine for e in world.happened if e.what == "returned"}
+    assert faulty <= returned
--- a/tests/test_leader.py
+++ b/tests/test_leader.py
@@ -41,6 +41,7 @@
         self.machines: dict[str, MachineView] = {}
         self.asked: dict[str, str] = {}  # silent machine -> what became of asking it, twice
         self.overheard: list[tuple[str, float]] = []
+        self.failing: list[tuple[str, int, int]] = []  # as the owner of part 0 tells
         self.now = NOW
 
     def part_of(self, name: str) -> int:
@@ -76,7 +77,8 @@
                 for m in mine if m.name in self.asked
             ]
             view = PartView("node-0", part, token, self.revision, mine,
-                            overheard=self.overheard, silences=silences)
+                            overheard=self.overheard, silences=silences,
+                            failing=self.failing if part == 0 else [])
             evicted += self.leader.on_view(view, self.now).evict
         return evicted
 
@@ -446,3 +448,37 @@
     assert again.fleet.gone == {"m-1": NOW}
     assert again.fleet.listed_once
     assert again.estimates is lead.leader.estimates
+
+
+def test_a_mistaken_job_is_tried_by_one_task_and_nothing_is_rented_for_it(lead: Lead) -> None:
+    lead.job("wk-000001", pieces=12)
+    lead.job("wk-000002", pieces=2)
+    lead.failing = [("wk-000001", 3, 9)]
+    lead.round()
+    assert [rental.count for rental in lead.last.rentals] == [1]  # for the other one
+    for i in range(6):
+        lead.machine(f"m-{i}")
+    lease_s = lead.settings.settings.workers.lease_s
+    assert set(lead.round()) == {"wk-000002"}
+    lead.allot("wk-000002", 0, [0, 1])
+    lead.now += lease_s + 0.1
+    assert lead.round() == {"wk-000001": 1}
+    lead.leader.allotted(["wk-000001"], lead.now)
+    assert lead.round() == {}
+    # A task that is done shows that it was not the job's fault.
+    lead.put(share_key("wk-000001", 1), {"t": {}, "d": [0, 1]})
+    assert lead.round() == {"wk-000001": 10}
+
+
+def test_a_limit_of_zero_is_none(lead: Lead) -> None:
+    """With much work waiting as well: nothing is divided by what has no end."""
+    teams = lead.leader._teams
+    teams["guest"] = msgspec.structs.replace(teams["red"], name="guest", cpus=0.0, cpus_max=0.0)
+    for i in range(20):
+        lead.machine(f"m-{i}")
+    lead.job("wk-000001", pieces=100, crew="guest", cpus=0.25, memoryGb=0.5)
+    lead.job("wk-000002", pieces=2)
+    allotted = lead.round()
+    assert allotted == {"wk-000001": 100, "wk-000002": 2}
+    spec = parse_job(job_body("wk-000009", crew="guest", cpus=4.0))
+    assert never_runs(spec, {"small": SMALL}, teams) is None
