--- a/ryegauge/bookkeeping/ranges.py
+++ b/ryegauge/bookkeeping/ranges.py
@@ -64,16 +64,19 @@
         return Ranges(tuple(spans))
 
     def __sub__(self, other: "Ranges") -> "Ranges":
+        """In one pass over both: arrays whose tasks end in any order have thousands of spans."""
         spans: list[tuple[int, int]] = []
+        others, i = other.spans, 0
         for a, b in self.spans:
-            for c, d in other.spans:
-                if d <= a:
-                    continue
-                if c >= b:
-                    break
+            while i < len(others) and others[i][1] <= a:
+                i += 1
+            j = i
+            while a < b and j < len(others) and others[j][0] < b:
+                c, d = others[j]
                 if c > a:
                     spans.append((a, c))
                 a = max(a, d)
+                j += 1
             if a < b:
                 spans.append((a, b))
         return Ranges(tuple(spans))
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -187,8 +187,8 @@
 
     def _finish(self, task: Task, machine: Machine, now: float) -> None:
         machine.tasks.discard(task.key)
-        self._blame.succeeded(task.key[0], machine.name)
-        self._reassess()
+        if self._blame.succeeded(task.key[0], machine.name):
+            self._reassess()
         job = self._book.jobs.get(task.key[0])
         if job is not None and task.running_since is not None and job.spec.estimate_s > 0:
             took = max(0.1, now - task.running_since)
--- a/ryegauge/detection/blame.py
+++ b/ryegauge/detection/blame.py
@@ -52,9 +52,11 @@
         # Machine -> job -> tasks of it that failed there since one last succeeded there.
         self._since: dict[str, dict[str, set[int]]] = {}
 
-    def succeeded(self, uid: str, machine: str) -> None:
-        self._jobs.pop(uid, None)
-        self._since.pop(machine, None)
+    def succeeded(self, uid: str, machine: str) -> bool:
+        """Whether that changes anything: nearly always nothing had failed."""
+        job = self._jobs.pop(uid, None)
+        since = self._since.pop(machine, None)
+        return job is not None or since is not None
 
     def failed(self, uid: str, task: int, machine: str, machines_of_task: int) -> None:
         """`machines_of_task`: on how many it has failed by now, with this one. A task that
--- a/ryegauge/scheduling/boots.py
+++ b/ryegauge/scheduling/boots.py
@@ -84,9 +84,13 @@
         # (type, zone) -> when those that came up lately had been asked for.
         self._came: dict[tuple[str, str], deque[float]] = {}
         self._slow: dict[tuple[str, str], tuple[int, float]] = {}  # as of the last look
+        # Worked out once for a moment: hundreds may be under way at the same time.
+        self._normals: dict[tuple[Kind, float], tuple[float, float]] = {}
+        self._normals_at = -math.inf
 
     def came_up(self, kind: Kind, nominal_s: float, took_s: float, now: float) -> None:
         value = math.log(max(took_s, 0.01 * nominal_s) / nominal_s)
+        self._normals_at = -math.inf
         for group in (kind, (kind[0],), None):
             seen = self._seen.setdefault(group, _Seen())
             seen.add(value, now, FADES_BOOTS * nominal_s)
@@ -144,6 +148,11 @@
 
     def _normal(self, kind: Kind, nominal_s: float, now: float) -> tuple[float, float]:
         """Mean and spread for a kind; each group begins with what the wider one shows."""
+        if now != self._normals_at:
+            self._normals_at = now
+            self._normals.clear()
+        if (known := self._normals.get((kind, nominal_s))) is not None:
+            return known
         mean, variance = 0.0, USUAL_SPREAD**2
         for group in (None, (kind[0],), kind):
             seen = self._seen.get(group)
@@ -154,4 +163,5 @@
             second = squares + PRIOR * (variance + mean * mean)
             variance = max(0.25 * USUAL_SPREAD**2, second / (n + PRIOR) - of_all * of_all)
             mean = of_all
-        return mean, math.sqrt(variance)
+        result = self._normals[kind, nominal_s] = mean, math.sqrt(variance)
+        return result
--- a/tests/test_pieces.py
+++ b/tests/test_pieces.py
@@ -1,5 +1,6 @@
 """Small pieces against plain models."""
 
+from collections.abc import Iterator
 from typing import Any
 
 import pytest
@@ -78,3 +79,24 @@
                 total += 1
                 lost += taken and start + length < now
     assert share.share(now) == pytest.approx(lost / total if total else 0.0)
+
+
+def test_differences_are_worked_out_in_one_pass() -> None:
+    """An array's tasks end in any order and leave thousands of spans; each was held against
+    each, a second for one difference."""
+    class Counting(tuple[tuple[int, int], ...]):
+        looks = 0
+
+        def __getitem__(self, index: Any) -> Any:
+            Counting.looks += 1
+            return super().__getitem__(index)
+
+        def __iter__(self) -> Iterator[tuple[int, int]]:
+            for span in super().__iter__():
+                Counting.looks += 1
+                yield span
+
+    spans = Counting((4 * n, 4 * n + 1) for n in range(5000))
+    evens = Ranges(tuple((4 * n, 4 * n + 2) for n in range(5000)))
+    assert len(evens - Ranges(spans)) == 5000
+    assert Counting.looks < 40_000  # a few for each span, and not for each pair
