--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -187,8 +187,8 @@
 
     def _finish(self, task: Task, machine: Machine, now: float) -> None:
         machine.tasks.discard(task.key)
-        self._blame.succeeded(task.key[0], machine.name)
-        self._reassess()
+        if self._blame.succeeded(task.key[0], machine.name):
+            self._reassess()
         job = self._book.jobs.get(task.key[0])
         if job is not None and task.running_since is not None and job.spec.estimate_s > 0:
             took = max(0.1, now - task.running_since)
@@ -653,6 +653,14 @@
         over = [self.tasks[key] for key in self.leaving]
         return shares.pending(self._book, self._settings, self.part, over, self._bulky, wall)
 
+    @property
+    def awaited(self) -> bool:
+        """Whether anybody waits for what is to be written. Other ends stay in the workers'
+        reports until the next owner has written them. (A part was handed over only once nothing
+        at all was to be written: with tasks ending all the time its home, which was back, had it
+        again after 160 s, and the other was the busiest until then.)"""
+        return any(entry.waited_for for entry in self.pending())
+
     def view(
         self, node: str, leader: int, now: float, overheard: Iterable[tuple[str, float]] = ()
     ) -> PartView:
