--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -225,11 +225,11 @@
 
     async def _hand_over(self) -> None:
         while True:
-            await trio.sleep(self._desk.report_s / 4)
+            await trio.sleep(self._desk.report_s)
             for part, token in self._desk.term.surplus():
                 owner = self._desk.owned.get(part)
-                if owner is None or owner.awaited:
-                    continue  # what somebody waits for is written first
+                if owner is None or owner.leaving:
+                    continue  # what is over is written first
                 await self._give_back(part, token)
 
     async def _give_back(self, part: int, token: int) -> None:
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -653,14 +653,6 @@
         over = [self.tasks[key] for key in self.leaving]
         return shares.pending(self._book, self._settings, self.part, over, self._bulky, wall)
 
-    @property
-    def awaited(self) -> bool:
-        """Whether anybody waits for what is to be written. Other ends stay in the workers'
-        reports until the next owner has written them. (A part was handed over only once nothing
-        at all was to be written: with tasks ending all the time its home, which was back, had it
-        again after 160 s, and the other was the busiest until then.)"""
-        return any(entry.waited_for for entry in self.pending())
-
     def view(
         self, node: str, leader: int, now: float, overheard: Iterable[tuple[str, float]] = ()
     ) -> PartView:
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -390,16 +390,3 @@
     part.tick()
     assert part.phase(0) == "seen"
     assert part.phase(1) == "placed"
-
-
-def test_a_part_is_handed_over_while_ends_wait_that_nobody_waits_for(part: Part) -> None:
-    attempt = part.start(0)
-    part.allot([0, 1])
-    part.tick()
-    assert not part.owner.awaited
-    part.report((0, attempt, "ended"), why="done")
-    assert part.pending()
-    assert not part.owner.awaited  # the job goes on here: this end is written at leisure
-    second = part.owner.tasks[(UID, 1)].attempt
-    part.report((0, attempt, "ended"), (1, second, "ended"), why="done")
-    assert part.owner.awaited
