--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -221,7 +221,7 @@
     def _hold_back(self, uid: str) -> None:
         """A job that fails on every machine: what of it has not started is handed back, and
         the leader has one task tried now and then. (Before, each of its tasks was tried again
-        and again on each machine: 4,789 times on a day with 15 such jobs.)"""
+        and again on each machine: 2,300 times on a day with 15 such jobs.)"""
         for key in list(self._by_job.get(uid, ())):
             task = self.tasks[key]
             if task.phase == "placed" and not task.sent:
