A late enrolment of a predecessor is replaced; peers that hang are asked last

A controller that was away until others had its parts enrols under no guard; if it ends while that is on its way and its successor enrols first, the late one takes the place of the successor's and goes with the old lease. The others then took the successor for gone and it gave its parts away for good. And a change sent by way of a peer that hung was sent again by way of the next: refused there, it counted as not made, and an allotment could have been made anew for another part (a task in two places).

Change: the enrolment is compared with the book and renewed; a change that a peer may have carried has an unknown outcome. Peers that hang are asked last, are not told of overheard workers, do not help to probe, and the leader is looked up anew for each part's view. A controller without authority does not take views as leader.

--- a/ryegauge/coordination/mesh.py
+++ b/ryegauge/coordination/mesh.py
@@ -10,6 +10,7 @@
 from ryegauge.bookkeeping.state import Unknown
 from ryegauge.coordination.desk import Desk
 from ryegauge.coordination.frontdoor import FrontDoor
+from ryegauge.detection.reach import Reach
 from ryegauge.protocol.peers import (
     Audit,
     AuditAnswer,
@@ -28,7 +29,15 @@
     parse_message,
     to_wire,
 )
-from ryegauge.transport.http import Caller, Malformed, Reply, Unreachable, decode
+from ryegauge.transport.http import (
+    Malformed,
+    NoAnswer,
+    Refused,
+    Reply,
+    Reset,
+    Unreachable,
+    decode,
+)
 
 log = logging.getLogger(__name__)
 
@@ -43,6 +52,8 @@
             )
             for peer in desk.settings.known
         }
+        # One that hangs is asked again now and then: a term is soon enough to use it.
+        self.reach = Reach(desk.settings.term_s / 2)
         # Asks workers on a peer's behalf.
         self.on_probe: Callable[[Sequence[str]], Awaitable[list[str]]] | None = None
         # Whether all that we know still stands in the state service; None: cannot tell.
@@ -54,35 +65,47 @@
 
     async def tell_peers(self) -> None:
         async with trio.open_nursery() as nursery:
-            for name, client in self.peers.items():
-                nursery.start_soon(self._tell_peer, name, client)
+            for name in self.peers:
+                nursery.start_soon(self._tell_peer, name)
 
-    async def _tell_peer(self, name: str, client: Caller) -> None:
+    async def _tell_peer(self, name: str) -> None:
         """One that does not answer must not keep the others waiting."""
         told = 0
         while True:
             while told == self._desk.to_tell.get(name, 0):
                 await self._desk.tell.wait()
             told = self._desk.to_tell[name]
-            await self._send(client, to_wire(Poke(told)))
+            await self._send(name, to_wire(Poke(told)))
 
-    async def _send(
-        self, client: Caller, message: list[object], timeout_s: float = 0.0
-    ) -> object:
+    async def _send(self, name: str, message: list[object], timeout_s: float = 0.0) -> object:
         try:
-            status, answer, _ = await client.request(
-                "POST", "/peer", message, timeout_s=timeout_s or self._desk.report_s / 2
-            )
+            return await self._call(name, message, timeout_s or self._desk.report_s / 2)
         except Unreachable:
             return None
+
+    async def _call(self, name: str, message: list[object], timeout_s: float) -> object:
+        """The body of a 200, None for any other answer. Raises Unreachable."""
+        try:
+            status, answer, _ = await self.peers[name].request(
+                "POST", "/peer", message, timeout_s=timeout_s
+            )
+        except (Refused, Reset):
+            self.reach.answered(name)  # at once: nobody waits for it
+            raise
+        except Unreachable:
+            self.reach.missed(name, trio.current_time())
+            raise
+        self.reach.answered(name)
         return answer if status == 200 else None
 
     async def tell(self, name: str, message: Message) -> None:
         """A hint: whether it arrives does not matter."""
-        await self._send(self.peers[name], to_wire(message))
+        await self._send(name, to_wire(message))
+
+    async def ask(self, name: str, message: Message, timeout_s: float = 0.0) -> object:
+        return self._parsed(await self._send(name, to_wire(message), timeout_s))
 
-    async def ask(self, client: Caller, message: Message, timeout_s: float = 0.0) -> object:
-        answer = await self._send(client, to_wire(message), timeout_s)
+    def _parsed(self, answer: object) -> object:
         if answer is None:
             return None
         try:
@@ -98,7 +121,7 @@
         hello = Hello(self._desk.settings.node_name, self._desk.term.incarnation)
         while self._desk.term.unwelcomed:
             for name in list(self._desk.term.unwelcomed):
-                answer = await self.ask(self.peers[name], hello)
+                answer = await self.ask(name, hello)
                 if isinstance(answer, HelloAnswer):
                     self.welcomes[name] = answer
                     self._desk.term.welcomed_by(name)
@@ -113,18 +136,16 @@
                 continue
             voters: dict[str, str] = {}
 
-            async def ask(
-                name: str, client: Caller, voters: dict[str, str] = voters
-            ) -> None:
-                answer = await self.ask(client, self._vow())
+            async def ask(name: str, voters: dict[str, str] = voters) -> None:
+                answer = await self.ask(name, self._vow())
                 if isinstance(answer, VowAnswer):
                     self._cancelled_elsewhere(answer.cancelled)
                     if answer.given:
                         voters[name] = answer.incarnation
 
             async with trio.open_nursery() as nursery:
-                for name, client in self.peers.items():
-                    nursery.start_soon(ask, name, client)
+                for name in self.peers:
+                    nursery.start_soon(ask, name)
             self._desk.term.vowed(asked_at, voters, trio.current_time())
 
     def _recent_cancellations(self) -> list[str]:
@@ -154,8 +175,22 @@
     async def _relay(
         self, method: str, target: str, body: object, timeout_s: float
     ) -> tuple[int, object] | None:
-        for client in self.peers.values():
-            answer = await self.ask(client, Relay(method, target, body), timeout_s)
+        """Those that answer us carry it, in turn; one that hangs is asked last.
+
+        Changes that may have reached the service are not sent by way of another: made already,
+        they would be refused there, and count as not made. (An allotment that was lost to its
+        leader that way could be made anew for another part: the same task in two places.)"""
+        changes = isinstance(body, dict) and bool(body.get("apply"))
+        message = to_wire(Relay(method, target, body))
+        for name in self.reach.order(self.peers, trio.current_time()):
+            try:
+                answer = self._parsed(await self._call(name, message, timeout_s))
+            except (NoAnswer, Reset) as error:
+                if changes:
+                    raise Unknown(f"{name} may have carried it: {error}") from None
+                continue
+            except Unreachable:
+                continue
             if isinstance(answer, RelayAnswer):
                 if answer.status:
                     return answer.status, answer.body
@@ -189,7 +224,8 @@
             case PartView(ledger=ledger):
                 if ledger > self._desk.book.ledger:
                     self._desk.syncer.poke()
-                leader = self._desk.leader
+                # One that has stood still may lead by its own book alone: nobody takes its orders.
+                leader = self._desk.leading()
                 if leader is None:
                     return Reply(503, ["not leading"])
                 orders = leader.on_view(message, trio.current_time())
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -193,9 +193,9 @@
     async def _report_parts(self) -> None:
         """Shows the leader our parts and takes its orders."""
         while True:
-            leader = self._desk.book.leader
             for owner in list(self._desk.owned.values()):
                 now = trio.current_time()
+                leader = self._desk.book.leader  # it may have changed while one hung
                 if leader is None or not self._desk.term.valid(now):
                     continue
                 # What we overheard goes along once, with whichever part comes first.
@@ -208,8 +208,8 @@
                 if leader.node == self._desk.settings.node_name:
                     if self._desk.leader is not None:
                         orders = self._desk.leader.on_view(view, now)
-                elif (client := self._mesh.peers.get(leader.node)) is not None:
-                    orders = await self._mesh.ask(client, view)
+                elif leader.node in self._mesh.peers:
+                    orders = await self._mesh.ask(leader.node, view)
                 if isinstance(orders, PartOrders):
                     self._told_overheard = now
                     owner.shown(view.seq, orders.resync)
@@ -250,7 +250,10 @@
             by_node: dict[str, list[tuple[str, int, float]]] = {}
             for entry in self._desk.overheard.since(told, now, MOST_OVERHEARD):
                 owner_of = self._desk.book.parts.get(entry[1])
-                if owner_of is not None and owner_of.node in self._mesh.peers:
+                if (
+                    owner_of is not None and owner_of.node in self._mesh.peers
+                    and not self._mesh.reach.silent(owner_of.node, now)
+                ):
                     by_node.setdefault(owner_of.node, []).append(entry)
             told = now
             async with trio.open_nursery() as nursery:
--- a/ryegauge/coordination/probing.py
+++ b/ryegauge/coordination/probing.py
@@ -67,7 +67,7 @@
 
         async def ask_by(name: str) -> None:
             answer = await self._mesh.ask(
-                self._mesh.peers[name], ProbeMessage(addresses), self._desk.report_s
+                name, ProbeMessage(addresses), self._desk.report_s
             )
             if isinstance(answer, ProbeAnswer):
                 answers.append((name, answer.outcomes))
@@ -83,10 +83,8 @@
         log.debug("asked %d silent machines: %s", len(silent), answers)
 
     def _helpers(self) -> list[str]:
-        """In turn, so that none is asked by all."""
-        names = sorted(self._mesh.peers)
-        self._turn += 1
-        return [names[(self._turn + n) % len(names)] for n in range(min(HELPERS, len(names)))]
+        """In turn, so that none is asked by all; not those that hang."""
+        return self._mesh.reach.order(self._mesh.peers, trio.current_time())[:HELPERS]
 
     async def ask_all(self, addresses: Sequence[str]) -> list[str]:
         """The outcome for each address, for ourselves or for a peer; empty for those that
--- a/ryegauge/coordination/rebuild.py
+++ b/ryegauge/coordination/rebuild.py
@@ -200,7 +200,7 @@
             lived = [name for name, answer in self._mesh.welcomes.items() if answer.lived]
             for name in lived:
                 answer = await self._mesh.ask(
-                    self._mesh.peers[name], Audit(self._desk.settings.node_name),
+                    name, Audit(self._desk.settings.node_name),
                     self._desk.settings.term_s / 3,
                 )
                 if isinstance(answer, AuditAnswer) and answer.good:
--- a/ryegauge/coordination/terms.py
+++ b/ryegauge/coordination/terms.py
@@ -55,6 +55,7 @@
         # (Parts claimed in one transaction share a token, hence the part.)
         self._given_back: set[tuple[int, int]] = set()
         self._enrolled = False
+        self._enrolled_at = 0  # revision
         # A claim was sent; until the book is read again its outcome is not known.
         self._claimed_at = float("-inf")
         self._vowed_from = float("-inf")
@@ -209,7 +210,7 @@
             try:
                 if self._lease is None or began > self._renewed_from + self._ttl_s / 6:
                     await self._renew(began)
-                if not self._enrolled or self._claims():
+                if not self._still_enrolled() or self._claims():
                     await self._claim()
             except Gone:
                 log.warning("the lease ran out: starting a new term")
@@ -225,6 +226,14 @@
                 log.debug("renewing or claiming failed: %s", error)
             await trio.sleep(pause)
 
+    def _still_enrolled(self) -> bool:
+        """By the book, once that shows it. A predecessor's enrolment that was still on its way
+        when this process had enrolled takes the place of ours, and goes with its lease: the
+        others then took us for gone, and we gave all our parts away, for good."""
+        if self._enrolled and self._book.ledger >= self._enrolled_at:
+            self._enrolled = self._book.nodes.get(self._name) == self.incarnation
+        return self._enrolled
+
     async def _renew(self, now: float) -> None:
         timeout_s = self._ttl_s / 6
         if self._lease is None:
@@ -285,7 +294,9 @@
             guards = {c.key: claims[c.key] for c in some if c.key in claims}
             if guards:
                 self._claimed_at = trio.current_time()
-            await self._state.commit(guards, some, timeout_s=self._ttl_s / 6, reserve=URGENT)
+            self._enrolled_at = await self._state.commit(
+                guards, some, timeout_s=self._ttl_s / 6, reserve=URGENT
+            )
         self._enrolled = True
         if claims:
             log.info("took %s", ", ".join(claims))
--- a/ryegauge/transport/http.py
+++ b/ryegauge/transport/http.py
@@ -31,7 +31,7 @@
 
 
 class Reset(Unreachable):
-    """The connection stood and ended without an answer."""
+    """The connection stood and ended without an answer that can be read."""
 
 
 class NoAnswer(Unreachable):
@@ -265,9 +265,9 @@
             raise Reset(type(error).__name__) from None
         except ConnectionRefusedError as error:
             raise Refused(str(error)) from None
-        except (ConnectionResetError, h11.RemoteProtocolError) as error:
+        except (ConnectionResetError, h11.RemoteProtocolError, Malformed) as error:
             raise Reset(str(error)) from None
-        except (OSError, Malformed) as error:
+        except OSError as error:
             raise Unreachable(str(error)) from None
 
     def close(self) -> None:
