Tests: controllers cut off on one side for longer than a lease

Leader and owner, refused by the state service alone, cut off from it, from workers (held, reset) and from all, for 35 s: no rule broken, each role changes hands once at most, urgent jobs wait no longer than beside a full fleet without a cut, at most 8 runs lost.

--- /dev/null
+++ b/tests/test_one_sided.py
@@ -0,0 +1,110 @@
+"""A controller that is cut off on one side for longer than a lease: what it cannot serve is
+served elsewhere, roles do not flap, and no older answer is given."""
+
+from collections import Counter
+from collections.abc import Iterator
+from contextlib import AbstractContextManager, contextmanager
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+from conftest import job_body
+from days import Day, play
+from test_rebuilding_days import rebuilding
+from test_world import MIX
+
+from ryegauge.emulator.world import World
+
+LASTS_S = 35.0
+
+
+class Refusing:
+    """The state service as a controller sees it that it refuses alone."""
+
+    async def request(self, *_: object, **__: object) -> tuple[int, Any, float | None]:
+        await trio.sleep(0.002)
+        return 503, {"error": "trouble"}, None
+
+    def close(self) -> None:
+        return
+
+
+@contextmanager
+def refused(world: World, n: int) -> Iterator[None]:
+    state = world.nodes[n]._desk.state
+    usual, state._client = state._client, Refusing()
+    try:
+        yield
+    finally:
+        state._client = usual
+
+
+def one_side(world: World, kind: str, n: int) -> AbstractContextManager[None]:
+    host = {f"10.0.0.{n + 1}"}
+    workers = {f"m-{i:06d}" for i in range(1, 400)}
+    match kind:
+        case "refused by state":
+            return refused(world, n)
+        case "from state":
+            return world.cut(host, {"10.2.0.1"}, hold=True)
+        case "from workers":
+            return world.cut(host, workers, hold=True)
+        case "from workers, reset":
+            return world.cut(host, workers, hold=False)
+        case _:
+            return world.silence(host)
+
+
+@pytest.mark.parametrize("who", ["leader", "owner"])
+@pytest.mark.parametrize("kind", [
+    "refused by state", "from state", "from workers", "from workers, reset", "from all"])
+def test_one_sided_cuts(tmp_path: Path, kind: str, who: str) -> None:
+    answers: Counter[int] = Counter()
+    urgent: dict[str, float] = {}
+    changes: list[tuple[float, str]] = []
+    cut: list[float] = []
+
+    async def script(world: Day) -> None:
+        world.state.on_write.append(lambda key, value: changes.append(
+            (trio.current_time(), key)) if key.startswith(("r/p/", "r/l")) else None)
+        await trio.sleep(35.0)
+        leader = world.names.index(world.state.data["r/l"][0]["o"])
+        n = leader if who == "leader" else (leader + 1) % 5
+        cut.append(trio.current_time())
+        with one_side(world, kind, n):
+            for i in range(int(LASTS_S / 5)):
+                uid = f"wk-7000{i:02d}"
+                body = job_body(uid, pieces=2, cpus=1.0, urgency="high")
+                world.checker.specs[uid] = {**body, "really": 3.0, "broken": False}
+                # First to the one that is cut off, as the load balancer may; then elsewhere.
+                for other in (n, (n + 1) % 5, (n + 2) % 5):
+                    asked = trio.current_time()
+                    if kind == "from all" and other == n:
+                        continue  # users do not reach it either
+                    status, answer, _ = await world.network.call(
+                        "users", world.settings[other].listen, "POST", "/v1/jobs", body, 5.0)
+                    if other == n:
+                        answers[status] += 1
+                    world.checker.answered(uid, status, answer, "submit")
+                    if status in (200, 201):
+                        urgent[uid] = asked
+                        break
+                await trio.sleep(5.0)
+        cut.append(trio.current_time())
+
+    world = play(rebuilding(tmp_path, 5), 21, MIX, script, 170.0)
+    assert world.checker.broken == []
+    assert world.unfinished <= set(urgent)
+    assert len(urgent) == int(LASTS_S / 5)
+    assert not set(answers) - {200, 201, 429, 503}
+    # Nobody waits for what it held: takeover takes a term and a bit.
+    started = {e.uid: e.at for e in reversed(world.happened) if e.what == "started"}
+    delays = sorted(started[uid] - at for uid, at in urgent.items())
+    assert delays[-1] < 13.0  # as on a day without a cut: the fleet is full
+    began, ended = cut
+    during = Counter(key for at, key in changes if began < at < ended)
+    # No role changes hands more than once while it lasts (once more by a leader's own fence).
+    assert all(count <= 1 for key, count in during.items() if key != "r/l"), during
+    kills = [e for e in world.happened if e.what == "ended" and e.detail == "lease"]
+    assert len(kills) <= 8
