--- a/ryegauge/coordination/commands.py
+++ b/ryegauge/coordination/commands.py
@@ -18,10 +18,13 @@
         self._desk = desk
         self._workers: dict[str, Caller] = {}
         self._most = sockets_of(desk.settings).commands
+        self._under_way = 0
         self.placed = trio.Event()
 
     async def push(self) -> None:
-        """Sends starts straight to the workers instead of waiting for their reports."""
+        """Sends starts straight to the workers instead of waiting for their reports, as far as
+        there are sockets for it. (A controller that was left alone with 700 machines sent to
+        hundreds of them at once, had no socket left, and could not reach the state service.)"""
         async with trio.open_nursery() as nursery:
             while True:
                 await self.placed.wait()
@@ -30,7 +33,9 @@
                 if not self._desk.term.valid(now):
                     continue
                 for owner in list(self._desk.owned.values()):
-                    for name, address, session, commands in owner.to_push(now):
+                    free = self._most - self._under_way
+                    for name, address, session, commands in owner.to_push(now, free):
+                        self._under_way += 1
                         nursery.start_soon(self._push, owner, name, address, session, commands)
 
     async def _push(
@@ -49,6 +54,8 @@
         except (Unreachable, Malformed, ValueError) as error:
             log.debug("%s: commands without an answer: %s", name, error)
             return
+        finally:
+            self._under_way -= 1
         if self._desk.owned.get(owner.part) is owner:
             owner.pushed(name, session, commands)
             if report.token <= owner.token:
@@ -60,6 +67,6 @@
             split_address(address)  # raises ValueError for what is none
             client = self._desk.network.client(address, max_connections=2, idle_s=self._desk.idle_s)
         self._workers[address] = client  # the latest used is last
-        if len(self._workers) > self._most:
+        if len(self._workers) > self._most // 2:  # two connections each at most
             self._workers.pop(next(iter(self._workers))).close()
         return client
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -447,12 +447,14 @@
 
     # -- direct commands ------------------------------------------------------------------
 
-    def to_push(self, now: float) -> list[tuple[str, str, int, list[Command]]]:
-        """Starts that need not wait for the next check-in: (machine, address, session,
-        commands). Only to workers heard of just now; from here on the attempt may be
-        on the machine, whatever becomes of the request."""
+    def to_push(self, now: float, most: int) -> list[tuple[str, str, int, list[Command]]]:
+        """Starts that need not wait for the next check-in, of `most` machines: (machine,
+        address, session, commands). Only to workers heard of just now; from here on the
+        attempt may be on the machine, whatever becomes of the request."""
         result: list[tuple[str, str, int, list[Command]]] = []
         for m in self.machines.values():
+            if len(result) >= most:
+                break
             if not m.tasks or not m.address or not self._takes_tasks(m, now):
                 continue
             commands: list[Command] = []
--- a/ryegauge/coordination/sockets.py
+++ b/ryegauge/coordination/sockets.py
@@ -6,9 +6,9 @@
 
 from ryegauge.config import Settings
 
-# Of all: connections to workers that are kept open for direct commands, and attempts to reach
-# silent ones that are under way at once: one in so many.
-COMMANDS = 16
+# Of all: direct commands to workers that are under way at once, and attempts to reach silent
+# ones: one in so many.
+COMMANDS = 24
 PROBES = 24
 STATE = 16
 CLOUD = 8
@@ -30,6 +30,6 @@
     # A successor connects while its predecessor's connections still stand.
     mesh = 2 * peers + SPARE
     commands, probes = max(2, most // COMMANDS), max(2, most // PROBES)
-    # A worker's client has two connections at the most, seldom more than one.
-    ours = STATE + CLOUD + peers + mesh + commands + probes + SPARE
+    # As many connections to workers again are kept open for the next commands.
+    ours = STATE + CLOUD + peers + mesh + 2 * commands + probes + SPARE
     return Sockets(max(most // 2, most - ours), mesh, commands, probes)
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -166,6 +166,6 @@
     ours = STATE + CLOUD + PER_PEER * peers
     assert got.public >= most // 2
     if most >= 600:
-        assert got.public + got.mesh + got.commands + got.probes + ours < most
+        assert got.public + got.mesh + 2 * got.commands + got.probes + ours < most
         assert got.mesh >= PER_PEER * peers
         assert got.public > 0.7 * most
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -232,7 +232,8 @@
     part.report()
     part.allot([0])
     part.tick()
-    ((name, _, session, commands),) = part.owner.to_push(part.now)
+    assert part.owner.to_push(part.now, 0) == []  # no socket left: with the next check-in
+    ((name, _, session, commands),) = part.owner.to_push(part.now, 1)
     attempt = commands[0].attempt
     part.cancel()
     part.report()
