Outcomes of the lowest priority have a rate of their own

Every second report as many outcomes were written as the budget had left, mostly two or three, and then none for two reports. Change: a third of an owner's changes may go to them while others wait; what is left of that when the budget is short is used as soon as there is some.

--- a/ryegauge/coordination/outcomes.py
+++ b/ryegauge/coordination/outcomes.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ryegauge.bookkeeping.budget import IDLE
+from ryegauge.bookkeeping.budget import IDLE, Budget
 from ryegauge.bookkeeping.jobbook import page_key, share_key, value_bytes
 from ryegauge.bookkeeping.state import Delete, Put, Unavailable
 from ryegauge.coordination.desk import RETRY, Desk
@@ -19,6 +19,8 @@
 # are scarce, each such write takes one from an allotment, and the later it comes the more
 # tasks it holds. The room of tasks that have ended is known from the part's views.
 IDLE_REPORTS = 2.0
+# Of our changes, what outcomes of the lowest priority may take while others wait.
+LOW_SHARE = 1 / 3
 
 
 class Outcomes:
@@ -26,7 +28,8 @@
         self._desk = desk
         self._date_ends = policy_of(desk.settings).ages
         self._wrote_at: dict[int, float] = {}  # when a part's outcomes were last written
-        self._low_at: dict[int, float] = {}  # the same, of the lowest priority
+        # Outcomes of the lowest priority that may be written now.
+        self._low = Budget(LOW_SHARE * desk.state.writes.rate, 1.0)
 
     async def write(self) -> None:
         """Brings the shares in the book to what the owners have seen."""
@@ -53,22 +56,19 @@
             await self._seal(part, owner, bulky)
             return
         limits = self._desk.settings.state_limits
-        # Many tiny jobs of the lowest priority end one by one; written at once each, they took
-        # the changes that urgent work had to be allotted with.
         pause_s = IDLE_REPORTS * self._desk.report_s
-        low_too = now >= self._low_at.get(part, 0.0) + pause_s
-        urgent = sum(entry.waited_for and (low_too or not entry.low) for entry in pending)
+        low = self._low_allowed(pending, pause_s)
+        urgent = sum(entry.waited_for and not entry.low for entry in pending) + low
         if not urgent and now < self._wrote_at.get(part, 0.0) + pause_s:
             return
         self._wrote_at[part] = now
-        if low_too:
-            self._low_at[part] = now
         count = max(min(urgent, max(1, int(writes.available()))), int(writes.available(IDLE)))
         count = min(count, len(pending), limits.txn_ops)
         if count <= 0:
             return
         guards = {part_key(part): owner.token}
         changes: list[Put | Delete] = []
+        lows = 0
         for entry in pending:
             uid, share = entry.uid, entry.share
             record = share.to_record()
@@ -77,12 +77,14 @@
             if value_bytes(record) <= limits.value_bytes:
                 guards[share_key(uid, part)] = share.version
                 changes.append(Put(share_key(uid, part), record))
+                lows += entry.waited_for and entry.low
             if len(changes) == count:
                 break
         if not changes:
             return
         try:
             self._desk.tell_leader(await self._desk.state.commit(guards, changes, timeout_s=1.0))
+            self._low.try_take(float(lows), reserve=0.0)
         except RETRY as error:
             log.debug("recording outcomes of part %d failed: %s", part, error)
         try:
@@ -90,6 +92,18 @@
         except Unavailable as error:
             log.debug("reading after outcomes of part %d: %s", part, error)
 
+    def _low_allowed(self, pending: list[Pending], pause_s: float) -> int:
+        """How many outcomes of the lowest priority go along, by a rate of their own: many tiny
+        jobs end one by one, and written at once each they took the changes that urgent work
+        had to be allotted with. As many as a transaction had left, every second report, were
+        two or three each time: jobs of one task of 4 s were done after 180 s."""
+        rate = LOW_SHARE * self._desk.state.writes.rate
+        self._low.resize(rate, rate * pause_s)
+        waiting = sum(entry.waited_for and entry.low for entry in pending)
+        allowed = int(self._low.available(0.0))
+        together = min(waiting, int(self._low.burst / 2))
+        return min(waiting, allowed) if allowed >= together else 0
+
     async def _seal(self, part: int, owner: PartOwner, entry: Pending) -> None:
         """Copies done tasks of a share that has grown too large to records of their own;
         once they stand there, the next write of the share leaves them out."""
--- a/tests/test_operations_day.py
+++ b/tests/test_operations_day.py
@@ -48,3 +48,25 @@
     # Urgent work is not kept by all this: ends of all controllers, an outage and boots apart.
     assert got.ranks["high"].median_s < 3.0
     assert got.ranks["high"].unserved == 0
+
+
+def test_tiny_jobs_are_done_soon_after_they_ran() -> None:
+    """Five changes a second for three changes of each of 200 tiny jobs, beside urgent work."""
+    day = load(DAYS / "operations.toml")
+    few = msgspec.structs.replace(day.installation, write_rps=14.0)
+    arrivals = [
+        msgspec.structs.replace(a, from_s=60.0, until_s=90.0, every_s=0.15)
+        if a.job_class == "flurry" else msgspec.structs.replace(a, every_s=4.0, mistaken=0.0)
+        for a in day.arrivals if a.job_class != "sweep"
+    ]
+    played = play(
+        msgspec.structs.replace(day, installation=few, arrivals=arrivals, troubles=[]), "ageing", 4
+    )
+    assert played.broken == []
+    ran = {e.uid: e.at for e in played.happened if e.what == "ended" and e.detail == "done"}
+    told = {e.uid: e.at for e in played.happened if e.what == "final"}
+    tiny = [uid for uid in ran if played.bodies[uid]["duty"] == "flurry"]
+    assert len(tiny) > 150
+    late = sorted(told.get(uid, day.seconds) - ran[uid] for uid in tiny)
+    assert late[-20] < 25.0  # 32 s before
+    assert figures(day, played).ranks["high"].median_s < 1.0
