--- a/ryegauge/coordination/shares.py
+++ b/ryegauge/coordination/shares.py
@@ -20,6 +20,7 @@
     waited_for: bool  # somebody waits for it
     low: bool  # nobody but users of the lowest priority
     opens: bool  # perhaps the last that jobs after this one wait for
+    tasks: int  # over or handed back, for one change
     uid: str
     share: Share
     # Done tasks of the book's share that have to stand in records of their own first.
@@ -58,8 +59,12 @@
         )
         opens = uid in book.dependents and not after.count
         low = job.spec.priority == PRIORITIES[-1] and uid not in book.dependents
-        result.append(Pending(waited_for, low, opens, uid, after, pages))
-    result.sort(key=lambda entry: (not entry.waited_for, entry.low, not entry.opens))
+        result.append(Pending(waited_for, low, opens, len(out), uid, after, pages))
+    # Of the lowest priority what lets go of most tasks: an array of thousands got its next
+    # hundred only after the single tasks of hundreds of jobs had been written.
+    result.sort(key=lambda entry: (
+        not entry.waited_for, entry.low, not entry.opens, -entry.tasks if entry.low else 0,
+    ))
     return result
 
 
