--- a/tests/test_one_sided.py
+++ b/tests/test_one_sided.py
@@ -1,6 +1,8 @@
-"""A controller that is cut off on one side for longer than a lease: what it cannot serve is
-served elsewhere, roles do not flap, and no older answer is given."""
+"""Controllers that are cut off on one side for longer than a lease, or say nothing for more than
+a minute: what they cannot serve is served elsewhere, nobody waits for them, roles do not flap, and
+when they go on they answer no worker before they have read what became of it."""
 
+import itertools
 from collections import Counter
 from collections.abc import Iterator
 from contextlib import AbstractContextManager, contextmanager
@@ -15,8 +17,9 @@
 from test_world import MIX
 
 from ryegauge.emulator.world import World
+from ryegauge.transport.http import encode
 
-LASTS_S = 35.0
+LASTS_S = {"leader": 35, "owner": 35, "both": 75}
 
 
 class Refusing:
@@ -40,6 +43,13 @@
         state._client = usual
 
 
+def checkin(world: World) -> bytes:
+    worker = next(w for w in world.workers.values() if w.alive and w.up)
+    return encode({"host": worker.name, "address": worker.address, "build": worker.type.name,
+                   "district": worker.zone, "loaners": True, "shift": 1, "tally": 1, "baton": 0,
+                   "warningS": None, "pieces": []})
+
+
 def one_side(world: World, kind: str, n: int) -> AbstractContextManager[None]:
     host = {f"10.0.0.{n + 1}"}
     workers = {f"m-{i:06d}" for i in range(1, 400)}
@@ -53,12 +63,17 @@
         case "from workers, reset":
             return world.cut(host, workers, hold=False)
         case _:
-            return world.silence(host)
+            next_one = {f"10.0.0.{(n + 1) % 5 + 1}"}
+            return world.silence(host if kind == "from all" else host | next_one)
 
 
-@pytest.mark.parametrize("who", ["leader", "owner"])
-@pytest.mark.parametrize("kind", [
-    "refused by state", "from state", "from workers", "from workers, reset", "from all"])
+@pytest.mark.parametrize(("kind", "who"), [
+    *itertools.product(
+        ["refused by state", "from state", "from workers", "from workers, reset", "from all"],
+        ["leader", "owner"],
+    ),
+    ("two from all", "both"),
+])
 def test_one_sided_cuts(tmp_path: Path, kind: str, who: str) -> None:
     answers: Counter[int] = Counter()
     urgent: dict[str, float] = {}
@@ -70,17 +85,19 @@
             (trio.current_time(), key)) if key.startswith(("r/p/", "r/l")) else None)
         await trio.sleep(35.0)
         leader = world.names.index(world.state.data["r/l"][0]["o"])
-        n = leader if who == "leader" else (leader + 1) % 5
+        n = (leader + 1) % 5 if who == "owner" else leader
+        silent = {"from all": {n}, "two from all": {n, (n + 1) % 5}}.get(kind, set())
         cut.append(trio.current_time())
         with one_side(world, kind, n):
-            for i in range(int(LASTS_S / 5)):
+            for i in range(LASTS_S[who] // 5):
                 uid = f"wk-7000{i:02d}"
                 body = job_body(uid, pieces=2, cpus=1.0, urgency="high")
                 world.checker.specs[uid] = {**body, "really": 3.0, "broken": False}
                 # First to the one that is cut off, as the load balancer may; then elsewhere.
-                for other in (n, (n + 1) % 5, (n + 2) % 5):
+                for other in range(n, n + 5):
+                    other %= 5
                     asked = trio.current_time()
-                    if kind == "from all" and other == n:
+                    if other in silent:
                         continue  # users do not reach it either
                     status, answer, _ = await world.network.call(
                         "users", world.settings[other].listen, "POST", "/v1/jobs", body, 5.0)
@@ -91,12 +108,15 @@
                         urgent[uid] = asked
                         break
                 await trio.sleep(5.0)
+            for other in silent:
+                reply = await world.nodes[other]._handle_public("POST", "/checkin", checkin(world))
+                assert reply.status in (421, 503)
         cut.append(trio.current_time())
 
     world = play(rebuilding(tmp_path, 5), 21, MIX, script, 170.0)
     assert world.checker.broken == []
     assert world.unfinished <= set(urgent)
-    assert len(urgent) == int(LASTS_S / 5)
+    assert len(urgent) == LASTS_S[who] // 5
     assert not set(answers) - {200, 201, 429, 503}
     # Nobody waits for what it held: takeover takes a term and a bit.
     started = {e.uid: e.at for e in reversed(world.happened) if e.what == "started"}
--- a/tests/test_silence.py
+++ b/tests/test_silence.py
@@ -5,7 +5,6 @@
 
 import pytest
 import trio
-from conftest import job_body
 from days import play
 from test_rebuilding_days import rebuilding
 from test_world import MIX, some_controllers
@@ -14,7 +13,7 @@
 from ryegauge.coordination.node import Node
 from ryegauge.detection.reach import Reach
 from ryegauge.emulator.world import World
-from ryegauge.transport.http import Reply, decode, encode
+from ryegauge.transport.http import Reply, decode
 
 
 def test_a_predecessors_enrolment_that_comes_late(tmp_path: Path) -> None:
@@ -108,58 +107,3 @@
     reach.answered("a")
     assert reach.order(names, 3.0)[3] == "b"
     assert not reach.silent("b", 5.1)
-
-
-def test_two_silent_for_more_than_a_minute(tmp_path: Path) -> None:
-    """The leader and an owner: no packets of theirs or to them, no refusal either. What they
-    held goes on elsewhere, nobody waits for them, and when they go on they answer no worker
-    before they have read what became of it."""
-    starts: dict[str, float] = {}
-    first_answers: list[int] = []
-    took: list[float] = []
-
-    async def script(world: World) -> None:
-        await trio.sleep(30.0)
-        leader = world.names.index(world.state.data["r/l"][0]["o"])
-        silent = {leader, (leader + 1) % 5}
-        hosts = {f"10.0.0.{n + 1}" for n in silent}
-        began = trio.current_time()
-        with world.silence(hosts):
-            for n in range(14):
-                await trio.sleep(4.0)
-                uid, asked = f"wk-70000{n:02d}", trio.current_time()
-                body = job_body(uid, pieces=2, cpus=1.0, urgency="high")
-                world.checker.specs[uid] = {**body, "really": 3.0, "broken": False}
-                while True:
-                    name = world.rng.choice(sorted(set(range(5)) - silent))
-                    status, _, _ = await world.network.call(
-                        "users", world.settings[name].listen, "POST", "/v1/jobs", body, 5.0
-                    )
-                    if status in (200, 201):
-                        break
-                    await trio.sleep(0.5)
-                took.append(trio.current_time() - asked)
-                world.checker.answered(uid, 201, {"uid": uid, "status": "queued"}, "submit")
-                starts[uid] = trio.current_time()
-            await trio.sleep(14.0)
-            for n in sorted(silent):
-                worker = next(w for w in world.workers.values() if w.alive and w.up)
-                report = {"host": worker.name, "address": worker.address, "build": "small",
-                          "district": worker.zone, "loaners": True, "shift": 1, "tally": 1,
-                          "baton": 0, "warningS": None, "pieces": []}
-                reply = await world.nodes[n]._handle_public(
-                    "POST", "/checkin", encode(report))
-                first_answers.append(reply.status)
-        assert trio.current_time() - began > 60.0
-
-    world = play(rebuilding(tmp_path, 5), 12, MIX, script, 200.0)
-    assert world.checker.broken == []
-    assert world.unfinished <= set(starts)
-    assert not set(first_answers) - {421, 503}
-    # Once a term has passed, nobody waits for them.
-    assert max(took) < 8.0
-    assert sorted(took)[len(took) // 2] < 0.5
-    done = {e.uid: e.at for e in world.happened if e.what == "started" and e.uid in starts}
-    assert set(done) == set(starts)
-    assert max(done[uid] - at for uid, at in starts.items()) < 12.0
-    assert not [e for e in world.happened if e.what == "ended" and e.detail == "lease"]
