Cancellations are named by revision: the gap between a confirmation and an older book

Cause: a controller that the state service refuses goes on under its peers' vows, and they named only what their own process had written of late. What a peer had told a user because its book said so, and what its predecessor had confirmed, was named by nobody; what was named marked the tasks of that moment only.

Now the asker says up to which revision its book is complete, and each peer names every cancelled job beyond it (book, own writes, what it was told), or gives no vow. What is named is kept until a read that began later. A vow of a version that can't say whether its list is whole does not count. Also: a claim carried out late, after a vow, makes the barrier count from the vow's end.

The emulator knows refusal of one controller, deaf machines, late writes and late copies of reports.

--- a/ryegauge/bookkeeping/jobbook.py
+++ b/ryegauge/bookkeeping/jobbook.py
@@ -318,6 +318,8 @@
         self.leader: Owner | None = None
         self.types: dict[str, Any] = {}
         self.on_job: list[Callable[[str], None]] = []
+        # Jobs that are known to be cancelled before this book can show it (`ahead`).
+        self.cancelled_ahead: set[str] = set()
         # The era, the version at which it began, the present one of its record, how far its
         # rebuilding has come, and whether it can be sure to have found everything.
         self.era = self.era_start = self.era_version = 0
@@ -373,6 +375,11 @@
             return self.packed[uid][0]
         return self.outcomes.get(uid)
 
+    def is_cancelled(self, uid: str) -> bool:
+        """By the book, or known already without it."""
+        job = self.jobs.get(uid)
+        return uid in self.cancelled_ahead or (job is not None and job.cancelled)
+
     def version_of(self, key: str) -> int | None:
         """Of a job's or a share's record, or of a role's; None: of others it is not known."""
         match key.split("/"):
--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -4,7 +4,6 @@
 """
 
 import logging
-from collections import deque
 from collections.abc import Callable
 from typing import Any, Literal
 
@@ -102,8 +101,8 @@
         self._limits = settings.state_limits
         memory_mb = settings.settings.quota.memory_mb
         self._finals = Finals(state, self._limits.conditions, int(FINALS_PER_MB * memory_mb))
-        # What was cancelled here of late: told to peers that cannot read it.
-        self.cancellations: deque[tuple[float, str]] = deque(maxlen=1000)
+        # Told of each job that a write of ours has cancelled, before its user is.
+        self.on_cancelled: Callable[[str], None] = lambda uid: None
         # Until then nobody is told that a job was never accepted: it may have been lost.
         self.unknown_before = float("-inf")
         # Told of a record that must be there and is not.
@@ -378,7 +377,7 @@
                 )
             except Conflict:
                 continue
-            self.cancellations.append((trio.current_time(), uid))
+            self.on_cancelled(uid)
             self._wrote(ledger)
             return Reply(200, {"uid": uid, "status": "cancelled"})
         return _busy("the job keeps changing")
--- a/ryegauge/coordination/mesh.py
+++ b/ryegauge/coordination/mesh.py
@@ -7,6 +7,7 @@
 
 import trio
 
+from ryegauge.bookkeeping.ahead import Ahead
 from ryegauge.bookkeeping.state import Unknown
 from ryegauge.coordination.desk import Desk
 from ryegauge.coordination.frontdoor import FrontDoor
@@ -42,11 +43,17 @@
 
 log = logging.getLogger(__name__)
 
+# Names of cancelled jobs in one message: well below what a body may have. Whoever knows more
+# cannot vow, since the asker would miss some.
+NAMED_BYTES = 24 * 1024
+
 
 class Mesh:
     def __init__(self, desk: Desk, front: FrontDoor) -> None:
         self._desk = desk
-        self._front = front
+        self._ahead = Ahead(desk.book)
+        front.on_cancelled = lambda uid: self._cancelled([uid])
+        desk.syncer.on_sync.append(lambda: self._ahead.read(desk.syncer.began_at))
         self.peers = {
             peer.node_name: desk.network.client(
                 peer.peer_addr, max_connections=PER_PEER, idle_s=desk.idle_s
@@ -140,28 +147,55 @@
             async def ask(name: str, voters: dict[str, str] = voters) -> None:
                 answer = await self.ask(name, self._vow())
                 if isinstance(answer, VowAnswer):
-                    self._cancelled_elsewhere(answer.cancelled)
-                    if answer.given:
+                    self._cancelled(answer.cancelled)
+                    if answer.given and answer.whole:
                         voters[name] = answer.incarnation
 
             async with trio.open_nursery() as nursery:
                 for name in self.peers:
                     nursery.start_soon(ask, name)
+            # Authority is prolonged only once all that the answers named is taken in. An answer
+            # that comes after its round does not count, and is given again in the next one.
             self._desk.term.vowed(asked_at, voters, trio.current_time())
 
-    def _recent_cancellations(self) -> list[str]:
-        since = trio.current_time() - 2 * self._desk.settings.settings.workers.cancel_s
-        return [uid for at, uid in self._front.cancellations if at > since]
-
     def _vow(self) -> Vow:
+        cancelled, _ = self._names(self._desk.book.ledger)
         return Vow(
-            self._desk.settings.node_name, self._desk.term.incarnation, self._recent_cancellations()
+            self._desk.settings.node_name, self._desk.term.incarnation, cancelled,
+            self._desk.book.ledger,
         )
 
-    def _cancelled_elsewhere(self, uids: list[str]) -> None:
-        for owner in self._desk.owned.values():
-            for uid in uids:
-                owner.cancelled(uid)
+    def _give_vow(self, message: Vow) -> VowAnswer:
+        """Names every cancellation that a user of ours may have been told and that the asker's
+        book may not show. A process that has just started has read what its predecessor had
+        confirmed, or gives no vow. A write of ours without an answer has told nobody anything;
+        whoever finds it carried out names it, since its book shows it then."""
+        given = self._desk.term.give_vow(
+            message.node, message.incarnation, trio.current_time()
+        )
+        self._cancelled(message.cancelled)
+        cancelled, whole = self._names(message.ledger)
+        return VowAnswer(
+            given and whole, self._desk.term.incarnation, cancelled,
+            whole and self._desk.syncer.ready.is_set(),
+        )
+
+    def _names(self, ledger: int) -> tuple[list[str], bool]:
+        """Cancellations beyond a revision, and whether these are all."""
+        names = self._ahead.beyond(ledger)
+        size, most = 0, len(names)
+        for n, uid in enumerate(names):
+            size += len(uid) + 4
+            if size > NAMED_BYTES:
+                most = n
+                break
+        return names[:most], most == len(names)
+
+    def _cancelled(self, uids: list[str]) -> None:
+        """Confirmed here or by a peer, before the book can be read: our parts stop them now."""
+        for uid in self._ahead.learn(uids, trio.current_time()):
+            for owner in self._desk.owned.values():
+                owner.on_job(uid)
 
     async def probe_state(self) -> None:
         """While peers carry our requests, tries whether the service serves us again."""
@@ -233,13 +267,8 @@
                 if message.machines or message.gone:
                     self._desk.wake()
                 return Reply(200, to_wire(orders))
-            case Vow(node=node, incarnation=incarnation, cancelled=cancelled):
-                given = self._desk.term.give_vow(node, incarnation, trio.current_time())
-                self._cancelled_elsewhere(cancelled)
-                answer = VowAnswer(
-                    given, self._desk.term.incarnation, self._recent_cancellations()
-                )
-                return Reply(200, to_wire(answer))
+            case Vow():
+                return Reply(200, to_wire(self._give_vow(message)))
             case Hello(node=node, incarnation=incarnation):
                 self._desk.term.welcome(node, incarnation)
                 return Reply(
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -161,7 +161,8 @@
                 log.info("owning part %d under token %d", part, token)
                 self._desk.owned[part] = PartOwner(
                     part, token, self._desk.book, self._desk.settings, lambda: self._types, now,
-                    self._desk.term.settled_at, self._rebuild is not None,
+                    max(self._desk.term.settled_at, self._desk.term.vows_end_at),
+                    self._rebuild is not None,
                 )
         token = self._desk.term.leader_token
         live = len({*self._desk.book.nodes, self._desk.settings.node_name})
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -140,15 +140,10 @@
             self._by_job[uid] = wanted
         else:
             self._by_job.pop(uid, None)
-        if job is not None and job.cancelled:
+        if self._book.is_cancelled(uid):
             for key in wanted:
                 self._withdraw(self.tasks[key])
 
-    def cancelled(self, uid: str) -> None:
-        """Known from a peer, before the book can be read."""
-        for key in list(self._by_job.get(uid, ())):
-            self._withdraw(self.tasks[key])
-
     def _drop(self, key: TaskKey) -> None:
         """The record no longer gives us the task: only written once it was over."""
         task = self.tasks.pop(key)
--- a/ryegauge/coordination/terms.py
+++ b/ryegauge/coordination/terms.py
@@ -136,6 +136,12 @@
         self._vowed_until[node] = now + self._ttl_s
         return True
 
+    @property
+    def vows_end_at(self) -> float:
+        """By then nobody counts on a vow of ours any more. A claim of ours that was carried out
+        late, after a vow, makes a role ours while its holder still commands."""
+        return max(self._vowed_until.values(), default=float("-inf"))
+
     def welcome(self, node: str, incarnation: str) -> None:
         """A peer has started anew and remembers no vow of its predecessor. A greeting of an
         incarnation that has greeted before is a late copy: taken for news, none of the vows of
--- a/ryegauge/emulator/network.py
+++ b/ryegauge/emulator/network.py
@@ -63,12 +63,20 @@
         self.handlers: dict[str, Handler] = {}
         self.cuts: list[Cut] = []
         self.gone: set[str] = set()  # hosts without power: connections to them hang
+        self.deaf: set[str] = set()  # what they send arrives, nothing reaches them
+        self.refused: set[tuple[str, str]] = set()  # (source, destination): answered 503
+        # Of the transactions, so many get no answer and are carried out so much later.
+        self.late_writes, self.late_writes_s = 0.0, (2.0, 12.0)
+        # Of the workers' reports, of so many a copy arrives again, up to so much later.
+        self.late_reports, self.copies_within_s = 0.0, 0.0
 
     def at(self, host: str) -> "HostNetwork":
         return HostNetwork(self, host)
 
     async def _pass(self, a: str, b: str) -> None:
         await trio.sleep(self._rng.uniform(0.0005, 0.004))
+        if b in self.deaf:
+            await trio.sleep_forever()
         while (cut := next((c for c in self.cuts if c.parts(a, b)), None)) is not None:
             if not cut.hold:
                 await trio.sleep_forever()
@@ -81,6 +89,22 @@
         payload = b"" if body is None else encode(body)
         answer: list[Reply] = []
         done = trio.Event()
+        assert self.nursery is not None
+        if (source, host) in self.refused:
+            await trio.sleep(self._rng.uniform(0.001, 0.008))
+            return 503, {"error": "trouble"}, None
+        if self.late_writes and target == "/multi" and body["apply"] and self._drawn(
+            self.late_writes
+        ):
+            self.nursery.start_soon(
+                self._again, address, method, target, payload, *self.late_writes_s
+            )
+            await trio.sleep(timeout_s)
+            raise NoAnswer("no answer")
+        if self.late_reports and target == "/checkin" and self._drawn(self.late_reports):
+            self.nursery.start_soon(
+                self._again, address, method, target, payload, 2.0, self.copies_within_s
+            )
         stood = trio.Event()  # once there is a connection
 
         async def deliver() -> None:
@@ -101,7 +125,6 @@
             answer.append(reply)
             done.set()
 
-        assert self.nursery is not None
         self.nursery.start_soon(deliver)
         with trio.move_on_after(timeout_s):
             await done.wait()
@@ -114,6 +137,19 @@
         return reply.status, data, reply.retry_after_s
 
 
+    def _drawn(self, share: float) -> bool:
+        return self._rng.random() < share
+
+    async def _again(
+        self, address: str, method: str, target: str, payload: bytes, least_s: float, most_s: float
+    ) -> None:
+        """A message arrives later than anybody waits for its answer."""
+        await trio.sleep(self._rng.uniform(least_s, most_s))
+        if (handler := self.handlers.get(address)) is not None:
+            HOST.set(address.partition(":")[0])
+            await respond(handler, method, target, payload)
+
+
 class HostNetwork:
     def __init__(self, network: SimulatedNetwork, host: str) -> None:
         self._network, self._host = network, host
--- a/ryegauge/emulator/world.py
+++ b/ryegauge/emulator/world.py
@@ -5,7 +5,7 @@
 
 import math
 import random
-from collections.abc import Awaitable, Callable, Iterator, Sequence
+from collections.abc import Awaitable, Callable, Collection, Iterator, Sequence
 from contextlib import AbstractContextManager, contextmanager
 from typing import Any, NamedTuple
 
@@ -185,6 +185,57 @@
 
         return self._during(Alone((hosts, set()), hold=True))
 
+    @contextmanager
+    def refused_by_state(self, *numbers: int) -> Iterator[None]:
+        """The state service answers these controllers 503, and the others as usual."""
+        service = self.settings[0].outside.state.partition(":")[0]
+        pairs = {(self.host_of(n), service) for n in numbers}
+        self.network.refused |= pairs
+        try:
+            yield
+        finally:
+            self.network.refused -= pairs
+
+    @contextmanager
+    def deaf(self, machines: Collection[str]) -> Iterator[None]:
+        """Their reports arrive; answers and direct commands to them are lost."""
+        self.network.deaf |= set(machines)
+        try:
+            yield
+        finally:
+            self.network.deaf -= set(machines)
+
+    @contextmanager
+    def late_writes(self, share: float) -> Iterator[None]:
+        self.network.late_writes = share
+        try:
+            yield
+        finally:
+            self.network.late_writes = 0.0
+
+    @contextmanager
+    def late_reports(self, share: float) -> Iterator[None]:
+        self.network.late_reports, self.network.copies_within_s = share, 2.5 * self.lease_s
+        try:
+            yield
+        finally:
+            self.network.late_reports = 0.0
+
+    def cut_from_state_and_peers(self, n: int, hold: bool) -> AbstractContextManager[None]:
+        """Workers and users still reach the controller."""
+        service = self.settings[0].outside.state.partition(":")[0]
+        others = {self.host_of(other) for other in range(len(self.settings)) if other != n}
+        return self.cut({self.host_of(n)}, {service, *others}, hold)
+
+    def host_of(self, n: int) -> str:
+        return self.settings[n].listen.partition(":")[0]
+
+    @property
+    def leading(self) -> int | None:
+        """Which controller leads, by the state service."""
+        record = self.state.data.get("r/l")
+        return None if record is None else self.names.index(record[0]["o"])
+
     def zone_of(self, host: str) -> str:
         if (worker := self.workers.get(host)) is not None:
             return worker.zone
--- a/ryegauge/protocol/peers.py
+++ b/ryegauge/protocol/peers.py
@@ -121,8 +121,11 @@
 
     node: str
     incarnation: str
-    # The sender's cancellations of late, which the receiver may not have read.
+    # Cancellations that the sender knows and its book does not show yet.
     cancelled: list[str]
+    # The sender's book is complete up to this revision. Versions before cancellations were
+    # named by revision do not say so, and are named all that there are.
+    ledger: int = 0
 
 
 class VowAnswer(msgspec.Struct, frozen=True, array_like=True, tag="vowed"):
@@ -131,6 +134,9 @@
     given: bool
     incarnation: str
     cancelled: list[str]
+    # Whether these are all the cancellations that the asker's book may lack, of those that the
+    # sender's users may have been told. Versions before named only some: their vows do not count.
+    whole: bool = False
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
--- /dev/null
+++ b/tests/test_gap.py
@@ -0,0 +1,195 @@
+"""The gap between a confirmation and whoever commands by an older book: the state service refuses
+one controller alone, others confirm cancellations, then it answers nobody for longer than
+`cancel_s`, while workers go on reporting to the one that was refused."""
+
+import random
+from contextlib import ExitStack
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+from conftest import job_body
+from days import Day, play
+from test_world import some_controllers
+
+from ryegauge.bookkeeping.ahead import Ahead
+from ryegauge.bookkeeping.jobbook import JobBook, job_record
+from ryegauge.bookkeeping.state import Event
+from ryegauge.config import Settings
+from ryegauge.coordination import mesh
+from ryegauge.coordination.desk import Desk
+from ryegauge.coordination.part import PartOwner
+from ryegauge.emulator.network import SimulatedNetwork
+from ryegauge.emulator.world import World
+from ryegauge.protocol.jobs import parse_job
+from ryegauge.protocol.peers import Vow, VowAnswer, parse_message, to_wire
+
+OUTAGE_S = 50.0
+# wk-000001: running everywhere; 2: not cancelled; 3 and 4: a pipeline, its first job running.
+JOBS: list[dict[str, Any]] = [
+    {"pieces": 16, "cpus": 1.0, "really": 150.0},
+    {"pieces": 8, "cpus": 1.0, "really": 110.0, "crew": "blue"},
+    {"pieces": 6, "cpus": 1.0, "really": 150.0, "crew": "blue"},
+    {"pieces": 2, "cpus": 1.0, "awaits": ["wk-000003"], "crew": "blue", "delay": 5.0},
+]
+CANCELLED = ["wk-000001", "wk-000003", "wk-000009"]
+
+
+async def ask(world: World, n: int, uid: str, body: Any = None) -> str:
+    """Of one controller: a submission with a body, else a cancellation."""
+    target = "/v1/jobs" if body else f"/v1/jobs/{uid}/cancel"
+    if not body:
+        world.checker.asked_to_cancel.add(uid)
+    status, answer, _ = await world.network.call(
+        "users", world.settings[n].listen, "POST", target, body, 5.0
+    )
+    world.checker.answered(uid, status, answer, "submit" if body else "cancel")
+    return str(answer["status"]) if status in (200, 201) else ""
+
+
+async def confirm(world: World, n: int, how: str) -> None:
+    """Users are told of cancellations, by others than controller `n`; the last is of a job that
+    was submitted a moment ago, so that its starts are under way."""
+    writer, teller = (n + 1) % 5, (n + 2) % 5
+    body = job_body("wk-000009", pieces=6, cpus=1.0, crew="blue", urgency="high", imageGb=1.0)
+    world.checker.specs["wk-000009"] = {**body, "really": 150.0, "broken": False}
+    assert await ask(world, writer, "wk-000009", body)
+    await trio.sleep(0.3)
+    if how == "found written":
+        # The writer hears nothing of its writes; another one's book shows them.
+        world.network.late_writes_s = (0.05, 0.1)
+        async with trio.open_nursery() as nursery:
+            with world.late_writes(1.0):
+                for uid in CANCELLED:
+                    nursery.start_soon(ask, world, writer, uid)
+                await trio.sleep(0.3)
+            nursery.cancel_scope.cancel()
+        assert any(world.state.data[f"r/j/{uid}"][0].get("x") for uid in CANCELLED)
+        writer = teller
+    for uid in CANCELLED:
+        while await ask(world, writer, uid) != "cancelled":
+            await trio.sleep(0.05)  # its shares have changed meanwhile
+        assert uid in world.checker.cancelled_at
+    if how == "writer ends":
+        world.restart_s = 0.05
+        world.crash(writer)
+        await trio.sleep(1.0)
+
+
+async def gap(world: World, who: str, how: str) -> None:
+    leader = world.leading
+    assert leader is not None
+    n = (leader + 1) % 5 if who == "owner" else leader
+    with ExitStack() as until_outage:
+        # Its peers would carry its reads: cut off from them too, it is surely behind.
+        until_outage.enter_context(world.cut_from_state_and_peers(n, hold=False))
+        with world.refused_by_state(n):
+            await confirm(world, n, how)
+            world.state.outage = True
+            until_outage.close()
+            await trio.sleep(OUTAGE_S)
+            world.state.end_outage()
+            await trio.sleep(2.0)
+
+
+HOWS = ["written", "found written", "writer ends"]
+
+
+@pytest.mark.parametrize("who", ["leader", "owner"])
+@pytest.mark.parametrize("how", HOWS)
+@pytest.mark.parametrize("seed", [1, 2])
+def test_what_was_confirmed_is_gone_in_time(
+    tmp_path: Path, who: str, how: str, seed: int
+) -> None:
+    behind: list[bool] = []
+
+    async def script(world: Day) -> None:
+        await trio.sleep(45.0)
+        assert len({t for w in world.workers.values() for t in w.on_machine()}) > 25
+        await gap(world, who, how)
+        behind.append(True)
+
+    world = play(some_controllers(tmp_path, 5), seed, JOBS, script, 260.0)
+    assert behind
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    # Whoever was not cancelled keeps its tasks, as long as nobody ends.
+    kills = [e for e in world.happened if e.what == "ended" and e.detail == "lease"]
+    assert how == "writer ends" or not [e for e in kills if e.uid == "wk-000002"]
+
+
+def job_event(uid: str, version: int, cancelled: bool) -> Event:
+    spec = parse_job(job_body(uid, pieces=4))
+    return Event(f"r/j/{uid}", job_record(spec, 0.0, cancelled), version)
+
+
+def test_what_is_named_holds_for_what_is_read_later(settings: Settings) -> None:
+    """A share that is read, or a part that is taken, after a peer has named the job."""
+    book = JobBook()
+    book.apply([job_event("wk-1", 3, False)], 3)
+    ahead = Ahead(book)
+    owner = PartOwner(0, 2, book, settings, dict, 10.0)
+    book.on_job.append(owner.on_job)
+    assert ahead.learn(["wk-1"], now=11.0) == ["wk-1"]
+    assert ahead.learn(["wk-1"], now=12.0) == []
+    book.apply([Event("r/j/wk-1/0", {"t": {"": [0, 4]}, "d": []}, 4)], 4)
+    late = PartOwner(0, 9, book, settings, dict, 13.0)
+    for part in (owner, late):
+        assert [task.withdrawn for task in part.tasks.values()] == [True] * 4
+    # A read that began before proves nothing; one that began after has it in the book.
+    ahead.read(11.5)
+    assert book.is_cancelled("wk-1")
+    ahead.read(12.5)
+    assert not book.is_cancelled("wk-1")
+
+
+def test_names_are_those_that_a_book_may_lack() -> None:
+    """Compared with a plain model: each revision cancels one job; whatever the asker has read,
+    what it lacks is named."""
+    book = JobBook()
+    book.apply([job_event(f"wk-{n}", n, n % 3 == 0) for n in range(1, 30)], 29)
+    ahead = Ahead(book)
+    ahead.learn(["wk-50"], now=1.0)  # by a write of ours that no read has shown yet
+    for ledger in range(30):
+        lacks = {f"wk-{n}" for n in range(ledger + 1, 30) if n % 3 == 0} | {"wk-50"}
+        assert set(ahead.beyond(ledger)) == lacks
+
+
+def test_who_cannot_name_all_gives_no_vow(
+    settings: Settings, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Too many for a message; started anew and not read since; a peer of a version before."""
+    answers: list[VowAnswer] = []
+
+    luck = random.Random(1)
+
+    async def scenario() -> None:
+        desk = Desk(settings, SimulatedNetwork(None, luck).at("x"), lambda: 0.0, luck)
+        front = type("Front", (), {})()
+        one = mesh.Mesh(desk, front)
+        desk.book.apply([job_event(f"wk-{n}", n, True) for n in range(1, 9)], 8)
+        desk.book.nodes["node-1"] = "i"
+        desk.state.failing_since = 0.0
+        desk.syncer.began_at = 0.0
+
+        async def vow(ledger: int) -> None:
+            asked = to_wire(Vow("node-1", "i", [], ledger))
+            answers.append(one._give_vow(parse_message(asked)))  # type: ignore[arg-type]
+
+        await vow(6)  # not read yet
+        desk.syncer.ready.set()
+        await vow(6)
+        monkeypatch.setattr(mesh, "NAMED_BYTES", 25)
+        await vow(6)
+        await vow(0)
+
+    trio.run(scenario)
+    assert [(a.given, a.whole) for a in answers] == [
+        (False, False), (True, True), (True, True), (False, False)
+    ]
+    assert [len(a.cancelled) for a in answers] == [2, 2, 2, 3]
+    before = parse_message(["vowed", True, "i", ["wk-1"]])
+    assert isinstance(before, VowAnswer)
+    assert not before.whole
+    assert parse_message(["vow", "node-1", "i", []]) == Vow("node-1", "i", [], 0)
--- a/tests/test_one_sided.py
+++ b/tests/test_one_sided.py
@@ -4,10 +4,8 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Iterator
-from contextlib import AbstractContextManager, contextmanager
+from contextlib import AbstractContextManager
 from pathlib import Path
-from typing import Any
 
 import pytest
 import trio
@@ -22,27 +20,6 @@
 LASTS_S = {"leader": 35, "owner": 35, "both": 75}
 
 
-class Refusing:
-    """The state service as a controller sees it that it refuses alone."""
-
-    async def request(self, *_: object, **__: object) -> tuple[int, Any, float | None]:
-        await trio.sleep(0.002)
-        return 503, {"error": "trouble"}, None
-
-    def close(self) -> None:
-        return
-
-
-@contextmanager
-def refused(world: World, n: int) -> Iterator[None]:
-    state = world.nodes[n]._desk.state
-    usual, state._client = state._client, Refusing()
-    try:
-        yield
-    finally:
-        state._client = usual
-
-
 def checkin(world: World) -> bytes:
     worker = next(w for w in world.workers.values() if w.alive and w.up)
     return encode({"host": worker.name, "address": worker.address, "build": worker.type.name,
@@ -55,7 +32,7 @@
     workers = {f"m-{i:06d}" for i in range(1, 400)}
     match kind:
         case "refused by state":
-            return refused(world, n)
+            return world.refused_by_state(n)
         case "from state":
             return world.cut(host, {"10.2.0.1"}, hold=True)
         case "from workers":
