Late copies renew nothing; machines that do not hear get no tasks and hold no barrier

Found by reading, each with a test that fails without the mend: a copy of an old report counted as heard, so copies of a dead machine's reports kept its tasks from starting elsewhere; a deaf machine (reports arrive, answers are lost) was given the tasks that its lease had just ended; one deaf at a takeover held the barrier for all unseen tasks of its part for as long as it was deaf; a machine to be returned because of a start that may be carried out late never counted as empty.

--- a/ryegauge/coordination/commands.py
+++ b/ryegauge/coordination/commands.py
@@ -53,6 +53,7 @@
             report = parse_report(answer)
         except (Unreachable, Malformed, ValueError) as error:
             log.debug("%s: commands without an answer: %s", name, error)
+            owner.unanswered(name, trio.current_time())
             return
         finally:
             self._under_way -= 1
--- a/ryegauge/coordination/held.py
+++ b/ryegauge/coordination/held.py
@@ -1,5 +1,6 @@
 """What the owner of a part knows of a task and of a machine."""
 
+import math
 from typing import Literal
 
 from ryegauge.detection.verdicts import Probe
@@ -35,8 +36,9 @@
 
 class Machine:
     __slots__ = (
-        "address", "alive", "direct", "heard_at", "idle_since", "images", "name", "notice_at",
-        "probes", "retiring", "spot", "stamp", "tasks", "trusted", "type", "zone",
+        "address", "alive", "checked_in", "deaf_until", "direct", "heard_at", "heard_from",
+        "idle_since", "images", "name", "notice_at", "probes", "retiring", "since",
+        "spot", "stamp", "tasks", "trusted", "type", "zone",
     )
 
     def __init__(self, report: Report, now: float) -> None:
@@ -50,7 +52,10 @@
         self.direct: set[tuple[TaskKey, int]] = set()
         self.trusted = False  # has reported under this token
         self.stamp = (0, 0)
-        self.heard_at = now
+        self.checked_in = (0, 0)  # the newest of its check-ins
+        self.deaf_until = -math.inf  # until then it seems not to hear us
+        self.since = self.heard_at = now
+        self.heard_from = now  # without a longer pause since then
         self.probes: list[Probe] = []  # since it was heard
         self.notice_at: float | None = None  # when the cloud takes it away
         self.retiring = False
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -255,8 +255,16 @@
             return []
         if machine is None:
             machine = self.machines[report.machine] = Machine(report, now)
-        # Whatever is answered may renew the lease, so it counts as heard.
         if checkin:
+            if stamp <= machine.checked_in:
+                # A late copy: the worker has sent a newer one since, so it waits for no answer to
+                # this one, and nothing is renewed. (Counted as heard, copies of the reports of
+                # machines that had died kept their tasks from starting elsewhere.)
+                return []
+            # Whatever else is answered may renew the lease, so it counts as heard.
+            machine.checked_in = stamp
+            if now - machine.heard_at > 2 * self._settings.report_gap_s:
+                machine.heard_from = now
             machine.heard_at = now
             machine.probes.clear()
             self._hearing.heard(machine.name, now)
@@ -270,6 +278,10 @@
         new_session = machine.trusted and report.session != machine.stamp[0]
         if new_session:
             machine.direct.clear()
+            if now - machine.heard_from > self.lease_s / 2:
+                # Its lease has run out although its reports were answered: it does not hear us.
+                # In a session that lasts for longer than a lease it does again.
+                machine.deaf_until = now + self.lease_s + self._settings.report_gap_s
         machine.stamp = stamp
         machine.trusted = True
         machine.address = report.addr or machine.address
@@ -469,6 +481,12 @@
         if machine is not None and machine.stamp[0] == session:
             machine.direct -= {(c.task, c.attempt) for c in commands}
 
+    def unanswered(self, name: str, now: float) -> None:
+        """No answer to direct commands, from a worker that had just reported: perhaps it does
+        not hear us. What is placed there waits for its session to end; no more is, for now."""
+        if (machine := self.machines.get(name)) is not None:
+            machine.deaf_until = max(machine.deaf_until, now + 2 * self._settings.report_gap_s)
+
     # -- silence ------------------------------------------------------------------------
 
     def heard_elsewhere(self, name: str, at: float) -> None:
@@ -578,6 +596,8 @@
             self.strays.clear()
         # A machine that was answered but has not reported under this token yet had
         # its lease renewed, with whatever is on it.
+        if self._unseen and now > self._barrier_at + self.lease_s:
+            self._give_up_deaf(now)
         if (
             self._unseen
             and now > self._barrier_at
@@ -588,6 +608,25 @@
                 self._end(self.tasks[key])
         self._place(now, wall)
 
+    def _give_up_deaf(self, now: float) -> None:
+        """Machines that report and never show our token, although they were answered for more
+        than a lease: what was on them has ended with it, but nothing that they say can prove it,
+        and they hold the barrier for all that is unseen. Their release does. If most are so, it
+        is rather our answers that come too late."""
+        deaf = [m for m in self.machines.values() if not m.trusted and now > m.since + self.lease_s]
+        if 2 * len(deaf) <= len(self.machines):
+            for machine in deaf:
+                machine.retiring = True
+
+    def _is_empty(self, m: Machine) -> bool:
+        """Whether its return loses nothing: what it holds at most waits for the outcome of a
+        command that must not be carried out any more, and for which its return is the end."""
+        return not m.alive and (m.trusted or m.retiring) and all(
+            (task := self.tasks[key]).phase == "placed" and m.retiring
+            and (task.withdrawn or (key, task.attempt) in m.direct)
+            for key in m.tasks
+        )
+
     def _rooms(self, now: float) -> list[Room]:
         rooms: list[Room] = []
         types = self._types()
@@ -620,6 +659,7 @@
             and machine.notice_at is None
             and machine.name not in self._faulty
             and machine.name not in self._suspected
+            and now >= machine.deaf_until
             and silent < 2 * self._settings.report_gap_s
         )
 
@@ -720,7 +760,7 @@
             zone=m.zone,
             spot=m.spot,
             open=self._takes_tasks(m, now),
-            empty=m.trusted and not tasks,
+            empty=self._is_empty(m),
             silent_s=now - m.heard_at,
             notice=m.notice_at is not None,
             retiring=m.retiring or m.name in self._faulty,
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -138,6 +138,84 @@
     assert part.phase(0) == "seen"
 
 
+def test_late_copies_renew_nothing(part: Part) -> None:
+    """Of a machine that has died: its tasks start elsewhere a lease after its last report."""
+    attempt = part.start(0)
+    part.report((0, attempt, "running"), seq=20)
+    for _ in range(4):
+        part.tick(2.6)
+        assert part.report((0, attempt, "running"), seq=12) == []
+    assert part.phase(0) != "seen"
+    assert "m-1" not in part.owner.machines
+    # Copies of any age change nothing either: ended, of an earlier session, of another attempt.
+    before = {key: task.phase for key, task in part.owner.tasks.items()}
+    for copy in ((0, attempt, "ended"), (0, attempt - 1, "ended"), (0, attempt, "running")):
+        assert part.report(copy, seq=13) == []
+        assert part.report(copy, seq=14, why="stopped") == []
+    assert {key: task.phase for key, task in part.owner.tasks.items()} == before
+
+
+def test_a_report_behind_a_direct_answer_still_renews(part: Part) -> None:
+    """The answer to direct commands is newer than the check-in under way beside it; that one is
+    answered, and the worker's lease counts from when it was sent."""
+    attempt = part.start(0)
+    part.tick(8.0)
+    part.report((0, attempt, "running"), seq=31, checkin=False)
+    part.report((0, attempt, "running"), seq=30)
+    part.tick(8.0)
+    assert part.phase(0) == "seen"
+
+
+def test_a_machine_that_does_not_hear_gets_no_tasks(part: Part) -> None:
+    """Its reports arrive and are answered, and its lease runs out all the same."""
+    attempt = part.start(0)
+    for _ in range(9):
+        part.report((0, attempt, "running"))
+        part.tick(1.0)
+    part.report(session=2, seq=1)
+    assert part.phase(0) == "free"
+    part.tick(1.0)
+    assert part.phase(0) == "leaving"  # no room after all: handed back
+    for seq in range(2, 14):
+        part.tick(1.0)
+        part.report(session=2, seq=seq)
+    assert part.owner._takes_tasks(part.owner.machines["m-1"], part.now)  # a whole session
+
+
+def test_a_machine_that_never_shows_the_token_is_returned(settings: Settings) -> None:
+    """It holds the barrier for all unseen tasks; only its release proves that they ended. Not
+    where most are so."""
+    part = Part(settings, before=[0])
+    for seq in range(1, 25):
+        part.tick(1.0)
+        part.report(machine="m-1", token=TOKEN - 1, seq=seq)
+        if seq > 22:
+            part.report(machine="m-2", seq=seq)
+        shown = part.owner._describe(part.owner.machines["m-1"], part.now)
+        part.tick()
+        assert (shown.empty and shown.retiring) == (seq == 24)
+    assert part.phase(0) == "unseen"
+    part.owner.gone(["m-1"])
+    part.tick(1.0)
+    assert part.phase(0) != "unseen"
+
+
+def test_a_withdrawn_start_without_an_answer_lets_its_machine_go(part: Part) -> None:
+    """Found by reading: the machine that was to be returned, since the start may be carried out
+    late, never counted as empty."""
+    part.report()
+    part.allot([0])
+    part.tick()
+    ((name, _, _, _),) = part.owner.to_push(part.now, 10)
+    part.cancel()
+    part.report()
+    shown = part.owner._describe(part.owner.machines[name], part.now)
+    assert (shown.retiring, shown.empty) == (True, True)
+    attempt = part.owner.tasks[UID, 0].attempt
+    assert part.report((0, attempt, "running")) == [Kill((UID, 0), attempt, 0.0)]
+    assert not part.owner._describe(part.owner.machines[name], part.now).empty
+
+
 def test_forget_waits_until_the_outcome_is_in_the_book(part: Part) -> None:
     attempt = part.start(0)
     assert part.report((0, attempt, "ended")) == []
