--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -3,6 +3,7 @@
 import os
 from pathlib import Path
 
+import known_red
 import pytest
 from hypothesis import settings as hypothesis_settings
 
@@ -15,6 +16,14 @@
 hypothesis_settings.register_profile("ci", derandomize=True, deadline=None, database=None)
 hypothesis_settings.load_profile("ci")
 
+
+
+def pytest_configure(config: pytest.Config) -> None:
+    plugin = known_red.Plugin(Path(__file__).parent.parent)
+    plugin.pytest_configure(config)
+    config.pluginmanager.register(plugin)
+
+
 SETTINGS = """
 node_name = "{name}"
 area = "{area}"
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -10,10 +10,12 @@
 from ryegauge.cli import main
 from ryegauge.cli.experiment import DAYS
 from ryegauge.config import ConfigError
-from ryegauge.emulator.world import Happened
+from ryegauge.emulator.world import Happened, World
 from ryegauge.experiments.day import load, submissions
 from ryegauge.experiments.delays import figures
 from ryegauge.experiments.play import Played
+from ryegauge.experiments.play import play as run
+from ryegauge.experiments.served import least_served
 
 SMALL = """
 title = "a small day"
@@ -75,6 +77,77 @@
     assert result.exit_code == 2
 
 
+TROUBLE = """
+[[troubles]]
+at_s = 1
+lasts_s = 2
+kind = "late_writes"
+part = 0.5
+"""
+
+
+@pytest.mark.parametrize(
+    ("old", "new", "says"),
+    [
+        ("late_writes", "late_wrytes", r"troubles\[0\]\.kind"),
+        ("part = 0.5", "part = 1.5", r"troubles\[0\]\.part"),
+        ("part = 0.5", "part = -0.5", r"troubles\[0\]\.part"),
+        ("lasts_s = 2", "lasts_s = -2", r"troubles\[0\]\.lasts_s"),
+        ("part = 0.5", "count = -1", r"troubles\[0\]\.count"),
+        ("part = 0.5", 'zone = "q"', r"troubles\[0\]\.zone: no zone 'q'"),
+    ],
+)
+def test_a_wrong_trouble_names_the_place(small: Path, old: str, new: str, says: str) -> None:
+    small.write_text(SMALL + TROUBLE.replace(old, new, 1))
+    with pytest.raises(ConfigError, match=says):
+        load(small)
+    result = CliRunner().invoke(main, ["experiment", "ageing", "--day", str(small)])
+    assert result.exit_code == 2
+    assert "troubles[0]" in result.output
+
+
+def test_days_know_the_troubles_that_meet(small: Path) -> None:
+    """Each is played, is seen in the world, and is over afterwards."""
+    kinds = ["late_writes", "late_reports", "machines_deaf", "leader_refused", "leader_cut"]
+    small.write_text(SMALL + "".join(
+        TROUBLE.replace("late_writes", kind).replace("at_s = 1", f"at_s = {10 + 5 * n}")
+        for n, kind in enumerate(kinds)
+    ))
+    seen: list[set[str]] = []
+
+    def watch(world: World) -> None:
+        net = world.network
+        seen.append({name for name, on in {
+            "late_writes": net.late_writes == 0.5, "late_reports": net.late_reports == 0.5,
+            "machines_deaf": net.deaf, "leader_refused": net.refused, "leader_cut": net.cuts,
+        }.items() if on})
+
+    played = run(load(small), "settled", 3, watch=watch)
+    assert played.broken == []
+    assert set().union(*seen) == set(kinds)
+    assert all(len(some) <= 1 for some in seen)
+    assert seen[-1] == set()
+
+
+def test_the_largest_of_a_class_are_counted() -> None:
+    """Nine small jobs are served and the one large one is not, or begins too late."""
+    bodies = {
+        f"wk-{n}": {"duty": "pick", "crew": "red", "pieces": 10 if n == 9 else 2}
+        for n in range(10)
+    }
+    events = [Happened(0.0, "submitted", uid) for uid in bodies]
+    small_ones = [uid for uid in bodies if uid != "wk-9"]
+    events += [Happened(9.0, "started", uid, f"{uid}/0") for uid in small_ones]
+    events += [Happened(20.0, "ended", uid, f"{uid}/{i}", detail="done")
+               for uid in small_ones for i in range(2)]
+    assert least_served(events, bodies, 300.0) == (0.0, "largest of pick")
+    events += [Happened(300.0, "ended", "wk-9", f"wk-9/{i}", detail="done") for i in range(10)]
+    late = [*events, Happened(241.0, "started", "wk-9", "wk-9/0")]
+    assert least_served(late, bodies, 300.0) == (0.0, "largest of pick begun")
+    in_time = [*events, Happened(239.0, "started", "wk-9", "wk-9/0")]
+    assert least_served(in_time, bodies, 300.0)[0] == 1.0
+
+
 def test_built_in_days_can_be_played() -> None:
     days = {path.stem: load(path) for path in DAYS.glob("*.toml")}
     assert {"dusk", "flood4", "flood10", "dusk-troubles"} <= set(days)
