--- a/ryegauge/bookkeeping/jobbook.py
+++ b/ryegauge/bookkeeping/jobbook.py
@@ -380,6 +380,19 @@
         job = self.jobs.get(uid)
         return uid in self.cancelled_ahead or (job is not None and job.cancelled)
 
+    def hangs_on_lost(self, job: Job) -> bool:
+        """Whether it needs, directly or through others, one whose outcome is to be looked up."""
+        todo, seen = list(job.waits_for), set(job.waits_for)
+        while todo:
+            uid = todo.pop()
+            if uid in self.lost:
+                return True
+            if (need := self.jobs.get(uid)) is not None:
+                new = need.waits_for - seen
+                seen |= new
+                todo += new
+        return False
+
     def version_of(self, key: str) -> int | None:
         """Of a job's or a share's record, or of a role's; None: of others it is not known."""
         match key.split("/"):
--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -329,6 +329,10 @@
             return job.view()
         await self._fresh()
         if (job := self._book.jobs.get(uid)) is not None:
+            if not job.over and self._book.hangs_on_lost(job):
+                # One that it needs left the book before its outcome was written for this one:
+                # cancelled perhaps, and then others may have been told that this one is, too.
+                raise Unavailable("the outcome of a job that it needs is being looked up")
             return job.view()
         if (packed := self._book.packed.get(uid)) is not None:
             return {"uid": uid, "status": packed[0], "done": packed[1], "running": 0}
--- a/ryegauge/emulator/network.py
+++ b/ryegauge/emulator/network.py
@@ -68,6 +68,7 @@
         self.slow: dict[str, float] = {}  # hosts that take up to so long for each answer
         # Of the transactions, so many get no answer and are carried out so much later.
         self.late_writes, self.late_writes_s = 0.0, (2.0, 12.0)
+        self.late_kind: Callable[[Any], bool] = lambda body: True  # only of these
         # Of the workers' reports, of so many a copy arrives again, up to so much later.
         self.late_reports, self.copies_within_s = 0.0, 0.0
 
@@ -94,8 +95,9 @@
         if (source, host) in self.refused:
             await trio.sleep(self._rng.uniform(0.001, 0.008))
             return 503, {"error": "trouble"}, None
-        if self.late_writes and target == "/multi" and body["apply"] and self._drawn(
-            self.late_writes
+        if (
+            self.late_writes and target == "/multi" and body["apply"]
+            and self.late_kind(body) and self._drawn(self.late_writes)
         ):
             self.nursery.start_soon(
                 self._again, address, method, target, payload, *self.late_writes_s
