--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -2,6 +2,7 @@
 controller: each kind by itself, while roles change hands. What guards each kind is listed in
 docs/safety.md."""
 
+import random
 import re
 from collections.abc import Callable
 from pathlib import Path
@@ -10,11 +11,17 @@
 import msgspec
 import pytest
 import trio
+from conftest import job_body
 from days import Day, play
 from test_rebuilding_days import rebuilding
 from test_world import MIX, PIPES, some_controllers
 
+from ryegauge.bookkeeping.jobbook import job_record
+from ryegauge.bookkeeping.state import Event, Unavailable
 from ryegauge.config import Settings
+from ryegauge.coordination.node import Node
+from ryegauge.emulator.network import SimulatedNetwork
+from ryegauge.protocol.jobs import parse_job
 
 Body = dict[str, Any]
 
@@ -114,3 +121,58 @@
     assert world.checker.broken == []
     assert seen == set(KINDS)
     assert bare == {"r/n", "r/c"}
+
+
+def test_a_job_that_hangs_on_a_lost_outcome_is_not_called_anything_older(
+    settings: Settings
+) -> None:
+    """Found by reading: a job is moved out, late, after one that names it was recorded. A
+    controller that starts then reads the later one without the cancellation that others have told
+    its user of."""
+
+    async def scenario() -> None:
+        luck = random.Random(1)
+        node = Node(settings, SimulatedNetwork(None, luck).at("x"), lambda: 0.0, luck)
+        book, front = node._desk.book, node._front
+
+        async def fresh() -> None:
+            return
+
+        node._desk.syncer.fresh = fresh  # type: ignore[method-assign]
+
+        def job(n: int, *awaits: str, version: int) -> Event:
+            spec = parse_job(job_body(f"wk-{n}", awaits=list(awaits) or None))
+            return Event(f"r/j/wk-{n}", job_record(spec, 0.0, False), version)
+
+        book.replace([job(2, "wk-1", version=3), job(3, "wk-2", version=4)], 4)
+        for uid in ("wk-2", "wk-3"):
+            with pytest.raises(Unavailable):
+                await front._known(uid)
+        # The leader has found how it ended.
+        book.apply([Event("r/o/wk-1", {"st": "cancelled"}, 5)], 5)
+        for uid in ("wk-2", "wk-3"):
+            assert (await front._known(uid) or {})["status"] == "cancelled"
+
+    trio.run(scenario)
+
+
+def test_a_claim_carried_out_after_a_vow(settings: Settings) -> None:
+    """The role is ours, and its holder may command until our vow ends: the barrier counts from
+    there."""
+
+    async def scenario() -> None:
+        luck = random.Random(1)
+        node = Node(settings, SimulatedNetwork(None, luck).at("x"), lambda: 0.0, luck)
+        desk = node._desk
+        desk.syncer.ready.set()
+        desk.state.failing_since = 0.0
+        desk.book.nodes["node-1"] = "i"
+        desk.syncer.began_at = now = trio.current_time()
+        assert desk.term.give_vow("node-1", "i", now)
+        role = {"o": settings.node_name, "i": desk.term.incarnation}
+        desk.book.apply([Event("r/p/0", role, 9)], 9)
+        node._on_sync()
+        barrier_at = desk.owned[0]._barrier_at
+        assert barrier_at >= now + settings.term_s + settings.sure_lease_s
+
+    trio.run(scenario)
