--- a/ryegauge/coordination/mesh.py
+++ b/ryegauge/coordination/mesh.py
@@ -1,6 +1,6 @@
-"""The controllers among themselves: what they tell and ask each other, vows during outages
+"""The controllers among themselves: what they tell and ask each other, promises during outages
 of the state service, and requests to it by way of a peer. Hints and views only, but for
-the vows (`terms`)."""
+the promises (`terms`)."""
 
 import logging
 from collections.abc import Awaitable, Callable, Sequence
@@ -24,10 +24,10 @@
     Poke,
     Probe,
     ProbeAnswer,
+    Promise,
+    PromiseAnswer,
     Relay,
     RelayAnswer,
-    Vow,
-    VowAnswer,
     parse_message,
     to_wire,
 )
@@ -44,7 +44,7 @@
 log = logging.getLogger(__name__)
 
 # Names of cancelled jobs in one message: well below what a body may have. Whoever knows more
-# cannot vow, since the asker would miss some.
+# cannot promise, since the asker would miss some.
 NAMED_BYTES = 24 * 1024
 
 
@@ -125,7 +125,7 @@
     # -- outages ---------------------------------------------------------------------------
 
     async def greet(self) -> None:
-        """Lets the peers know that this process remembers no vow."""
+        """Lets the peers know that this process remembers no promise."""
         hello = Hello(self._desk.settings.node_name, self._desk.term.incarnation)
         while self._desk.term.unwelcomed:
             for name in list(self._desk.term.unwelcomed):
@@ -136,17 +136,17 @@
             await trio.sleep(self._desk.report_s / 5)
         await trio.sleep_forever()
 
-    async def ask_vows(self) -> None:
+    async def ask_promises(self) -> None:
         while True:
             await trio.sleep(self._desk.settings.term_s / 12)
             asked_at = trio.current_time()
-            if not self.peers or not self._desk.term.needs_vows(asked_at):
+            if not self.peers or not self._desk.term.needs_promises(asked_at):
                 continue
             voters: dict[str, str] = {}
 
             async def ask(name: str, voters: dict[str, str] = voters) -> None:
-                answer = await self.ask(name, self._vow())
-                if isinstance(answer, VowAnswer):
+                answer = await self.ask(name, self._promise())
+                if isinstance(answer, PromiseAnswer):
                     self._cancelled(answer.cancelled)
                     if answer.given and answer.whole:
                         voters[name] = answer.incarnation
@@ -156,26 +156,26 @@
                     nursery.start_soon(ask, name)
             # Authority is prolonged only once all that the answers named is taken in. An answer
             # that comes after its round does not count, and is given again in the next one.
-            self._desk.term.vowed(asked_at, voters, trio.current_time())
+            self._desk.term.promised(asked_at, voters, trio.current_time())
 
-    def _vow(self) -> Vow:
+    def _promise(self) -> Promise:
         cancelled, _ = self._names(self._desk.book.ledger)
-        return Vow(
+        return Promise(
             self._desk.settings.node_name, self._desk.term.incarnation, cancelled,
             self._desk.book.ledger,
         )
 
-    def _give_vow(self, message: Vow) -> VowAnswer:
+    def _give_promise(self, message: Promise) -> PromiseAnswer:
         """Names every cancellation that a user of ours may have been told and that the asker's
         book may not show. A process that has just started has read what its predecessor had
-        confirmed, or gives no vow. A write of ours without an answer has told nobody anything;
+        confirmed, or gives no promise. A write of ours without an answer has told nobody anything;
         whoever finds it carried out names it, since its book shows it then."""
-        given = self._desk.term.give_vow(
+        given = self._desk.term.give_promise(
             message.node, message.incarnation, trio.current_time()
         )
         self._cancelled(message.cancelled)
         cancelled, whole = self._names(message.ledger)
-        return VowAnswer(
+        return PromiseAnswer(
             given and whole, self._desk.term.incarnation, cancelled,
             whole and self._desk.syncer.ready.is_set(),
         )
@@ -267,8 +267,8 @@
                 if message.machines or message.gone:
                     self._desk.wake()
                 return Reply(200, to_wire(orders))
-            case Vow():
-                return Reply(200, to_wire(self._give_vow(message)))
+            case Promise():
+                return Reply(200, to_wire(self._give_promise(message)))
             case Hello(node=node, incarnation=incarnation):
                 self._desk.term.welcome(node, incarnation)
                 return Reply(
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -82,7 +82,7 @@
             self._listen,
             self._probing.run,
             self._mesh.greet,
-            self._mesh.ask_vows,
+            self._mesh.ask_promises,
             self._mesh.probe_state,
             self._mesh.tell_peers,
             self._leading.lead,
@@ -161,7 +161,7 @@
                 log.info("owning part %d under token %d", part, token)
                 self._desk.owned[part] = PartOwner(
                     part, token, self._desk.book, self._desk.settings, lambda: self._types, now,
-                    max(self._desk.term.settled_at, self._desk.term.vows_end_at),
+                    max(self._desk.term.settled_at, self._desk.term.promises_end_at),
                     self._rebuild is not None,
                 )
         token = self._desk.term.leader_token
--- a/ryegauge/coordination/terms.py
+++ b/ryegauge/coordination/terms.py
@@ -58,12 +58,12 @@
         self._enrolled_at = 0  # revision
         # A claim was sent; until the book is read again its outcome is not known.
         self._claimed_at = float("-inf")
-        self._vowed_from = float("-inf")
-        self._voters: dict[str, str] = {}  # who vowed, and as which incarnation
+        self._promised_from = float("-inf")
+        self._voters: dict[str, str] = {}  # who promised, and as which incarnation
         self._greeted: dict[str, str] = {}
         self._met: dict[str, set[str]] = {}  # incarnations that have greeted us, by name
-        self._vowed_until: dict[str, float] = {}  # what we vowed ourselves
-        # Vows that a predecessor of this process gave have run out by then.
+        self._promised_until: dict[str, float] = {}  # what we promised ourselves
+        # Promises that a predecessor of this process gave have run out by then.
         self._quiet_until = trio.current_time() + self._ttl_s
         # Parts whose workers we do not hear while others do, and since when.
         self._deaf: dict[int, float] = {}
@@ -80,7 +80,7 @@
         self.era, self.era_since = era, now
         self._lease = None
         self.incarnation = self._new_incarnation()
-        self._vowed_from = float("-inf")
+        self._promised_from = float("-inf")
         self._enrolled = False
         self._given_back.clear()
 
@@ -99,31 +99,31 @@
         # after a lapse others may have taken them.
         if self._lease is None or self._syncer.began_at < self._granted_at:
             return False
-        since = max(min(self._renewed_from, self._syncer.began_at), self._vowed_from)
+        since = max(min(self._renewed_from, self._syncer.began_at), self._promised_from)
         return now < since + self._ttl_s * (1 - 4 * CLOCK_DRIFT) - 0.01
 
     # -- outages --------------------------------------------------------------------
     #
     # While the state service answers nobody, nobody can take a role over, but no
     # controller can know that alone. If all others say that they are refused as well,
-    # and vow to leave our roles alone for a term, our authority lasts for a term from
+    # and promise to leave our roles alone for a term, our authority lasts for a term from
     # when they were asked. They name what they cancelled, so that no cancellation is
     # missed meanwhile.
 
-    def needs_vows(self, now: float) -> bool:
-        since = max(min(self._renewed_from, self._syncer.began_at), self._vowed_from)
+    def needs_promises(self, now: float) -> bool:
+        since = max(min(self._renewed_from, self._syncer.began_at), self._promised_from)
         return self.valid(now) and now > since + self._ttl_s / 3
 
-    def vowed(self, asked_at: float, voters: dict[str, str], now: float) -> None:
-        """All others vowed. Counts only if authority has not lapsed since."""
-        # A voter that has started anew meanwhile has forgotten its vow.
+    def promised(self, asked_at: float, voters: dict[str, str], now: float) -> None:
+        """All others promised. Counts only if authority has not lapsed since."""
+        # A voter that has started anew meanwhile has forgotten its promise.
         remembered = all(self._greeted.get(n, i) == i for n, i in voters.items())
         everybody = set(voters) == {n for n in self._names if n != self._name}
         if self.valid(now) and everybody and remembered:
-            self._vowed_from = asked_at
+            self._promised_from = asked_at
             self._voters = voters
 
-    def give_vow(self, node: str, incarnation: str, now: float) -> bool:
+    def give_promise(self, node: str, incarnation: str, now: float) -> bool:
         """Only if the state service fails us too, and we have claimed nothing since
         the book was last read: a claim under way could be the asker's role."""
         if (
@@ -133,25 +133,25 @@
             or self._claimed_at >= self._syncer.began_at
         ):
             return False
-        self._vowed_until[node] = now + self._ttl_s
+        self._promised_until[node] = now + self._ttl_s
         return True
 
     @property
-    def vows_end_at(self) -> float:
-        """By then nobody counts on a vow of ours any more. A claim of ours that was carried out
-        late, after a vow, makes a role ours while its holder still commands."""
-        return max(self._vowed_until.values(), default=float("-inf"))
+    def promises_end_at(self) -> float:
+        """By then nobody counts on a promise of ours any more. A claim of ours that was carried out
+        late, after a promise, makes a role ours while its holder still commands."""
+        return max(self._promised_until.values(), default=float("-inf"))
 
     def welcome(self, node: str, incarnation: str) -> None:
-        """A peer has started anew and remembers no vow of its predecessor. A greeting of an
-        incarnation that has greeted before is a late copy: taken for news, none of the vows of
+        """A peer has started anew and remembers no promise of its predecessor. A greeting of an
+        incarnation that has greeted before is a late copy: taken for news, none of the promises of
         the one that runs now would count in the next outage."""
         if incarnation in self._met.setdefault(node, set()):
             return
         self._met[node].add(incarnation)
         self._greeted[node] = incarnation
         if self._voters.get(node, incarnation) != incarnation:
-            self._vowed_from = float("-inf")
+            self._promised_from = float("-inf")
 
     def welcomed_by(self, node: str) -> None:
         self._unwelcomed.discard(node)
@@ -161,9 +161,9 @@
         return self._unwelcomed
 
     def _may_claim(self, now: float) -> bool:
-        """Whether no vow stands against taking what has no owner: given by us, or,
+        """Whether no promise stands against taking what has no owner: given by us, or,
         unless all the others have let go of it, by our predecessor."""
-        if any(until > now for until in self._vowed_until.values()):
+        if any(until > now for until in self._promised_until.values()):
             return False
         return not self._unwelcomed or now > self._quiet_until
 
@@ -229,7 +229,7 @@
                 self._lease = None
                 # Nothing held under the old term is ours by the book any more.
                 self.incarnation = self._new_incarnation()
-                self._vowed_from = float("-inf")
+                self._promised_from = float("-inf")
                 self._enrolled = False
                 continue
             except Conflict:
--- a/ryegauge/protocol/peers.py
+++ b/ryegauge/protocol/peers.py
@@ -116,7 +116,7 @@
     mistaken: list[str] = []
 
 
-class Vow(msgspec.Struct, frozen=True, array_like=True, tag="vow"):
+class Promise(msgspec.Struct, frozen=True, array_like=True, tag="vow"):
     """During an outage of the state service: will you keep from taking my roles?"""
 
     node: str
@@ -128,19 +128,19 @@
     ledger: int = 0
 
 
-class VowAnswer(msgspec.Struct, frozen=True, array_like=True, tag="vowed"):
+class PromiseAnswer(msgspec.Struct, frozen=True, array_like=True, tag="vowed"):
     """Given only by a controller that gets no answer from the state service either."""
 
     given: bool
     incarnation: str
     cancelled: list[str]
     # Whether these are all the cancellations that the asker's book may lack, of those that the
-    # sender's users may have been told. Versions before named only some: their vows do not count.
+    # sender's users may have been told. Versions before named only some: theirs do not count.
     whole: bool = False
 
 
 class Hello(msgspec.Struct, frozen=True, array_like=True, tag="hello"):
-    """A controller has started: vows of its predecessor no longer count."""
+    """A controller has started: promises of its predecessor no longer count."""
 
     node: str
     incarnation: str
@@ -179,8 +179,8 @@
 
 
 Message = (
-    PartView | Poke | PartOrders | Vow | VowAnswer | Hello | HelloAnswer | Relay | RelayAnswer
-    | Probe | ProbeAnswer | Elsewhere | Audit | AuditAnswer
+    PartView | Poke | PartOrders | Promise | PromiseAnswer | Hello | HelloAnswer | Relay
+    | RelayAnswer | Probe | ProbeAnswer | Elsewhere | Audit | AuditAnswer
 )
 
 
--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -23,7 +23,7 @@
 from ryegauge.emulator.network import SimulatedNetwork
 from ryegauge.emulator.world import World
 from ryegauge.protocol.jobs import parse_job
-from ryegauge.protocol.peers import Vow, VowAnswer, parse_message, to_wire
+from ryegauge.protocol.peers import Promise, PromiseAnswer, parse_message, to_wire
 
 OUTAGE_S = 50.0
 # wk-000001: running everywhere; 2: not cancelled; 3 and 4: a pipeline, its first job running.
@@ -156,11 +156,11 @@
         assert set(ahead.beyond(ledger)) == lacks
 
 
-def test_who_cannot_name_all_gives_no_vow(
+def test_who_cannot_name_all_gives_no_promise(
     settings: Settings, monkeypatch: pytest.MonkeyPatch
 ) -> None:
     """Too many for a message; started anew and not read since; a peer of a version before."""
-    answers: list[VowAnswer] = []
+    answers: list[PromiseAnswer] = []
 
     luck = random.Random(1)
 
@@ -173,16 +173,16 @@
         desk.state.failing_since = 0.0
         desk.syncer.began_at = 0.0
 
-        async def vow(ledger: int) -> None:
-            asked = to_wire(Vow("node-1", "i", [], ledger))
-            answers.append(one._give_vow(parse_message(asked)))  # type: ignore[arg-type]
+        async def promise(ledger: int) -> None:
+            asked = to_wire(Promise("node-1", "i", [], ledger))
+            answers.append(one._give_promise(parse_message(asked)))  # type: ignore[arg-type]
 
-        await vow(6)  # not read yet
+        await promise(6)  # not read yet
         desk.syncer.ready.set()
-        await vow(6)
+        await promise(6)
         monkeypatch.setattr(mesh, "NAMED_BYTES", 25)
-        await vow(6)
-        await vow(0)
+        await promise(6)
+        await promise(0)
 
     trio.run(scenario)
     assert [(a.given, a.whole) for a in answers] == [
@@ -190,6 +190,6 @@
     ]
     assert [len(a.cancelled) for a in answers] == [2, 2, 2, 3]
     before = parse_message(["vowed", True, "i", ["wk-1"]])
-    assert isinstance(before, VowAnswer)
+    assert isinstance(before, PromiseAnswer)
     assert not before.whole
-    assert parse_message(["vow", "node-1", "i", []]) == Vow("node-1", "i", [], 0)
+    assert parse_message(["vow", "node-1", "i", []]) == Promise("node-1", "i", [], 0)
--- a/tests/test_late_writes.py
+++ b/tests/test_late_writes.py
@@ -156,8 +156,8 @@
     trio.run(scenario)
 
 
-def test_a_claim_carried_out_after_a_vow(settings: Settings) -> None:
-    """The role is ours, and its holder may command until our vow ends: the barrier counts from
+def test_a_claim_carried_out_after_a_promise(settings: Settings) -> None:
+    """The role is ours, and its holder may command until our promise ends: the barrier counts from
     there."""
 
     async def scenario() -> None:
@@ -168,7 +168,7 @@
         desk.state.failing_since = 0.0
         desk.book.nodes["node-1"] = "i"
         desk.syncer.began_at = now = trio.current_time()
-        assert desk.term.give_vow("node-1", "i", now)
+        assert desk.term.give_promise("node-1", "i", now)
         role = {"o": settings.node_name, "i": desk.term.incarnation}
         desk.book.apply([Event("r/p/0", role, 9)], 9)
         node._on_sync()
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -38,7 +38,7 @@
 
 
 def test_a_greeting_that_comes_late_is_no_news(settings: Settings) -> None:
-    """Held on its way, a predecessor's greeting made all vows of its successor worthless."""
+    """Held on its way, a predecessor's greeting made all promises of its successor worthless."""
 
     async def scenario() -> None:
         book, other = JobBook(), Accepting()
@@ -47,9 +47,9 @@
         peers = {"node-1": "b", "node-2": "c"}
         for name, incarnation in (("node-1", "a"), ("node-1", "b"), ("node-1", "a")):
             term.welcome(name, incarnation)
-        term.vowed(5.0, peers, 6.0)
-        assert term._vowed_from == 5.0
-        term.welcome("node-1", "d")  # one that remembers no vow
-        assert term._vowed_from < 0
+        term.promised(5.0, peers, 6.0)
+        assert term._promised_from == 5.0
+        term.welcome("node-1", "d")  # one that remembers no promise
+        assert term._promised_from < 0
 
     trio.run(scenario)
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -362,7 +362,7 @@
 
 def test_tasks_live_through_an_outage_longer_than_a_term(controllers: list[Settings]) -> None:
     """Found by measurement: terms were shorter than outages, and every lease ran out.
-    The controllers' vows keep their authority while the service answers nobody."""
+    The controllers' promises keep their authority while the service answers nobody."""
 
     async def outage(world: World) -> None:
         await trio.sleep(40.0)
