--- a/ryegauge/coordination/terms.py
+++ b/ryegauge/coordination/terms.py
@@ -60,7 +60,7 @@
         self._claimed_at = float("-inf")
         self._promised_from = float("-inf")
         self._voters: dict[str, str] = {}  # who promised, and as which incarnation
-        self._greeted: dict[str, str] = {}
+        self._greeted: dict[str, tuple[str, float]] = {}  # as which incarnation, and when
         self._met: dict[str, set[str]] = {}  # incarnations that have greeted us, by name
         self._promised_until: dict[str, float] = {}  # what we promised ourselves
         # Promises that a predecessor of this process gave have run out by then.
@@ -116,8 +116,15 @@
 
     def promised(self, asked_at: float, voters: dict[str, str], now: float) -> None:
         """All others promised. Counts only if authority has not lapsed since."""
-        # A voter that has started anew meanwhile has forgotten its promise.
-        remembered = all(self._greeted.get(n, i) == i for n, i in voters.items())
+        # A voter that has started anew since it was asked has forgotten its promise. One that
+        # greeted us before has answered as the process that runs now, whatever incarnation its
+        # present term has. (Held against its greeting, the promises of a controller whose term had
+        # lapsed never counted again; nor did they after a greeting of its predecessor came late.)
+        remembered = all(
+            greeting is None or greeting[1] <= asked_at or greeting[0] == i
+            for n, i in voters.items()
+            for greeting in [self._greeted.get(n)]
+        )
         everybody = set(voters) == {n for n in self._names if n != self._name}
         if self.valid(now) and everybody and remembered:
             self._promised_from = asked_at
@@ -149,7 +156,7 @@
         if incarnation in self._met.setdefault(node, set()):
             return
         self._met[node].add(incarnation)
-        self._greeted[node] = incarnation
+        self._greeted[node] = incarnation, trio.current_time()
         if self._voters.get(node, incarnation) != incarnation:
             self._promised_from = float("-inf")
 
--- a/tests/test_terms.py
+++ b/tests/test_terms.py
@@ -51,5 +51,12 @@
         assert term._promised_from == 5.0
         term.welcome("node-1", "d")  # one that remembers no promise
         assert term._promised_from < 0
+        # Asked before it started, it may have answered as the one before; asked since then, the
+        # one that runs now answers, as whichever incarnation its present term has.
+        greeted_at = trio.current_time()
+        term.promised(greeted_at - 1.0, peers, greeted_at + 1.0)
+        assert term._promised_from < 0
+        term.promised(greeted_at + 1.0, {"node-1": "e", "node-2": "c"}, greeted_at + 2.0)
+        assert term._promised_from == greeted_at + 1.0
 
     trio.run(scenario)
