--- a/tests/test_gap.py
+++ b/tests/test_gap.py
@@ -201,6 +201,10 @@
     assert parse_message(["vow", "node-1", "i", []]) == Promise("node-1", "i", [], 0)
 
 
+class Counted(Exception):
+    pass
+
+
 def test_what_a_round_of_answers_is_worth(settings: Settings) -> None:
     """All have to say that they named all, and what they named is taken in first; an answer that
     is missing spoils the round, and what was named holds all the same."""
@@ -221,14 +225,13 @@
         def promised(asked_at: float, voters: dict[str, str], now: float) -> None:
             assert all(task.withdrawn for task in owner.tasks.values())
             counted.append(voters)
-            raise KeyboardInterrupt
+            raise Counted
 
         one.ask = ask  # type: ignore[assignment, method-assign]
         desk.term.needs_promises = lambda now: True  # type: ignore[method-assign]
         desk.term.promised = promised  # type: ignore[method-assign]
-        with pytest.raises(BaseException) as stopped:
+        with pytest.raises(Counted):
             await one.ask_promises()
-        assert stopped.group_contains(KeyboardInterrupt) or stopped.type is KeyboardInterrupt
 
     names = PromiseAnswer(True, "a", ["wk-1"], True)
     others: list[Answer] = [
