--- a/ryegauge/service.py
+++ b/ryegauge/service.py
@@ -39,6 +39,10 @@
     ]
 
 
+# New objects after which circles among the young, the older and the old are looked for.
+GARBAGE = (10_000, 20, 50)
+
+
 def serve(config: str, properties: str | None = None) -> None:
     """Exit code 2: the settings cannot be used; 1: the addresses cannot be listened on."""
     _log_to_stderr()
@@ -46,9 +50,13 @@
         settings = load(config, properties)
     except ConfigError as error:
         fail(str(error), 2)
+    import gc
     import random
     import time
 
+    # Few objects here refer to each other in circles. Looking for those after every 700 new ones,
+    # as is usual, took an eighth of the processor time. (A simulated day: 8.1 s to 7.0 s.)
+    gc.set_threshold(*GARBAGE)
     front = None
     if settings.properties.queues_file:
         try:
