--- a/ryegauge/coordination/held.py
+++ b/ryegauge/coordination/held.py
@@ -36,8 +36,8 @@
 
 class Machine:
     __slots__ = (
-        "address", "alive", "checked_in", "deaf_until", "direct", "heard_at", "heard_from",
-        "idle_since", "images", "name", "notice_at", "probes", "retiring", "since",
+        "address", "alive", "checked_in", "deaf_until", "direct", "given_up", "heard_at",
+        "heard_from", "idle_since", "images", "name", "notice_at", "probes", "retiring", "since",
         "spot", "stamp", "tasks", "trusted", "type", "zone",
     )
 
@@ -59,6 +59,7 @@
         self.probes: list[Probe] = []  # since it was heard
         self.notice_at: float | None = None  # when the cloud takes it away
         self.retiring = False
+        self.given_up = False  # never showed that it hears us
         self.idle_since = now
         self.images: dict[str, float] = {}  # presumed cached, most recently used last
         self.tasks: set[TaskKey] = set()  # tasks whose place this is
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -616,12 +616,12 @@
         deaf = [m for m in self.machines.values() if not m.trusted and now > m.since + self.lease_s]
         if 2 * len(deaf) <= len(self.machines):
             for machine in deaf:
-                machine.retiring = True
+                machine.retiring = machine.given_up = True
 
     def _is_empty(self, m: Machine) -> bool:
         """Whether its return loses nothing: what it holds at most waits for the outcome of a
         command that must not be carried out any more, and for which its return is the end."""
-        return not m.alive and (m.trusted or m.retiring) and all(
+        return not m.alive and (m.trusted or m.given_up) and all(
             (task := self.tasks[key]).phase == "placed" and m.retiring
             and (task.withdrawn or (key, task.attempt) in m.direct)
             for key in m.tasks
--- a/tests/test_part.py
+++ b/tests/test_part.py
@@ -200,6 +200,15 @@
     assert part.phase(0) != "unseen"
 
 
+def test_an_unseen_machine_that_is_to_be_returned_is_not_empty(settings: Settings) -> None:
+    """The leader's order may follow from what an earlier owner said of it."""
+    part = Part(settings, before=[0])
+    part.report(token=TOKEN - 1)
+    part.owner.retire(["m-1"])
+    shown = part.owner._describe(part.owner.machines["m-1"], part.now)
+    assert (shown.retiring, shown.empty) == (True, False)
+
+
 def test_a_withdrawn_start_without_an_answer_lets_its_machine_go(part: Part) -> None:
     """Found by reading: the machine that was to be returned, since the start may be carried out
     late, never counted as empty."""
