--- a/ryegauge/transport/http.py
+++ b/ryegauge/transport/http.py
@@ -6,6 +6,8 @@
 import math
 from collections import deque
 from collections.abc import Awaitable, Callable
+from contextlib import nullcontext
+from functools import lru_cache
 from typing import Any, NamedTuple, Protocol
 
 import cbor2
@@ -187,19 +189,28 @@
         return False
 
     async def _requests(self, stream: trio.SocketStream) -> None:
+        # One scope for all that a connection is waited for, with a deadline that moves: a scope
+        # for each read and each answer was a tenth of what a check-in cost.
+        with trio.CancelScope() as patience:
+            await self._answer_all(stream, patience)
+
+    async def _answer_all(self, stream: trio.SocketStream, patience: trio.CancelScope) -> None:
         conn = h11.Connection(h11.SERVER, max_incomplete_event_size=CHUNK)
         first = False
         while True:
             request: h11.Request | None = None
             body: bytes | None = None
-            waiting = trio.CancelScope()
-            if not first:
+            patience.deadline = trio.current_time() + self._idle_s
+            # Apart from the other scope, so that making way never cuts a request short.
+            waiting = None if first else trio.CancelScope()
+            if waiting is not None:
                 self._idle[stream] = waiting
             try:
-                with waiting:
-                    request, body = await self._read(conn, stream)
+                with waiting or nullcontext():
+                    request, body = await self._read(conn, stream, patience)
             except h11.RemoteProtocolError as error:
                 if conn.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                    patience.deadline = trio.current_time() + self._request_s
                     await _send(conn, stream, Reply(error.error_status_hint, None), close=True)
                 return
             finally:
@@ -209,37 +220,32 @@
             if body is None:
                 await _send(conn, stream, Reply(400, {"error": "body over 64 KiB"}), close=True)
                 return
+            patience.deadline = math.inf
             target = request.target.decode("ascii")
             first = self._first(target)
             reply = await answer(self._handler, request.method.decode("ascii"), target, body)
-            with trio.move_on_after(self._request_s):
-                await _send(conn, stream, reply, close=not first and self._free < self._few)
+            patience.deadline = trio.current_time() + self._request_s
+            await _send(conn, stream, reply, close=not first and self._free < self._few)
             if conn.our_state is not h11.DONE or conn.their_state is not h11.DONE:
                 return
             conn.start_next_cycle()
 
     async def _read(
-        self, conn: h11.Connection, stream: trio.SocketStream
+        self, conn: h11.Connection, stream: trio.SocketStream, patience: trio.CancelScope
     ) -> tuple[h11.Request | None, bytes | None]:
         request: h11.Request | None = None
         parts: list[bytes] = []
         size = 0
-        deadline = trio.current_time() + self._idle_s
         while True:
             event = conn.next_event()
             if event is h11.NEED_DATA:
                 if conn.they_are_waiting_for_100_continue:
                     go_on = h11.InformationalResponse(status_code=100, headers=[])
                     await stream.send_all(conn.send(go_on) or b"")
-                data = None
-                with trio.move_on_at(deadline):
-                    data = await stream.receive_some(CHUNK)
-                if data is None:
-                    return None, None
-                conn.receive_data(data)
+                conn.receive_data(await stream.receive_some(CHUNK))
             elif isinstance(event, h11.Request):
                 request = event
-                deadline = trio.current_time() + self._request_s
+                patience.deadline = trio.current_time() + self._request_s
             elif isinstance(event, h11.Data):
                 size += len(event.data)
                 if size > BODY_LIMIT:
@@ -251,23 +257,35 @@
                 return None, None
 
 
+_END = h11.EndOfMessage()
+
+
+@lru_cache(256)
+def _head(
+    status: int, length: int, plain: bool, retry_after_s: float | None, close: bool
+) -> h11.Response:
+    """The same few over and over: most answers to check-ins have the same length."""
+    headers = [("content-length", str(length))]
+    if length:
+        kind = "text/plain; version=0.0.4; charset=utf-8" if plain else "application/cbor"
+        headers.append(("content-type", kind))
+    if retry_after_s is not None:
+        headers.append(("retry-after", str(max(1, math.ceil(retry_after_s)))))
+    if close:
+        headers.append(("connection", "close"))
+    return h11.Response(status_code=status, headers=headers)
+
+
 async def _send(
     conn: h11.Connection, stream: trio.SocketStream, reply: Reply, close: bool = False
 ) -> None:
     # Octets go out as they are: no message between components is binary.
     plain = isinstance(reply.body, bytes)
     body = b"" if reply.body is None else reply.body if plain else encode(reply.body)
-    headers = [("content-length", str(len(body)))]
+    out = conn.send(_head(reply.status, len(body), plain, reply.retry_after_s, close)) or b""
     if body:
-        kind = "text/plain; version=0.0.4; charset=utf-8" if plain else "application/cbor"
-        headers.append(("content-type", kind))
-    if reply.retry_after_s is not None:
-        headers.append(("retry-after", str(max(1, math.ceil(reply.retry_after_s)))))
-    if close:
-        headers.append(("connection", "close"))
-    out = conn.send(h11.Response(status_code=reply.status, headers=headers)) or b""
-    out += conn.send(h11.Data(data=body)) or b""
-    out += conn.send(h11.EndOfMessage()) or b""
+        out += conn.send(h11.Data(data=body)) or b""
+    out += conn.send(_END) or b""
     await stream.send_all(out)
 
 
