--- a/ryegauge/emulator/network.py
+++ b/ryegauge/emulator/network.py
@@ -3,7 +3,8 @@
 
 import random
 import time
-from collections.abc import Callable
+from collections import defaultdict
+from collections.abc import Callable, Collection
 from contextvars import ContextVar
 from dataclasses import dataclass, field
 from typing import Any
@@ -21,6 +22,10 @@
 )
 from ryegauge.transport.http import answer as respond
 
+# Of each source, so many reports are kept for the next leader: the oldest ones, which are
+# the likeliest of an earlier session or attempt.
+KEPT_REPORTS = 4
+
 # On whose processor a task of the simulation runs.
 HOST: ContextVar[str] = ContextVar("host", default="")
 
@@ -64,13 +69,18 @@
         self.cuts: list[Cut] = []
         self.gone: set[str] = set()  # hosts without power: connections to them hang
         self.deaf: set[str] = set()  # what they send arrives, nothing reaches them
+        self.mute: set[str] = set()  # hosts that reach nobody: connections hang
         self.refused: set[tuple[str, str]] = set()  # (source, destination): answered 503
         self.slow: dict[str, float] = {}  # hosts that take up to so long for each answer
         # Of the transactions, so many get no answer and are carried out so much later.
         self.late_writes, self.late_writes_s = 0.0, (2.0, 12.0)
         self.late_kind: Callable[[Any], bool] = lambda body: True  # only of these
+        self.lost_writes = 0.0  # so many are carried out at once, and only the answer is lost
         # Of the workers' reports, of so many a copy arrives again, up to so much later.
         self.late_reports, self.copies_within_s = 0.0, 0.0
+        # Of so many a copy is kept until `deliver_kept`.
+        self.kept_reports = 0.0
+        self._kept: dict[str, list[tuple[str, str, bytes]]] = defaultdict(list)
 
     def at(self, host: str) -> "HostNetwork":
         return HostNetwork(self, host)
@@ -108,12 +118,17 @@
             self.nursery.start_soon(
                 self._again, address, method, target, payload, 2.0, self.copies_within_s
             )
+        if self.kept_reports and target == "/checkin" and self._drawn(self.kept_reports):
+            self._kept[source].append((method, target, payload))
+            del self._kept[source][KEPT_REPORTS:]
+        is_write = target == "/multi" and bool(body["apply"])
+        answer_lost = bool(self.lost_writes) and is_write and self._drawn(self.lost_writes)
         stood = trio.Event()  # once there is a connection
 
         async def deliver() -> None:
             # Goes on when the caller has given up: what was sent may arrive late.
             await self._pass(source, host)
-            if host in self.gone:
+            if host in self.gone or source in self.mute:
                 await trio.sleep_forever()
             stood.set()
             HOST.set(host)
@@ -123,6 +138,8 @@
                 done.set()
                 return
             reply = await respond(handler, method, target, payload)
+            if answer_lost:
+                return
             if host in self.slow:
                 await trio.sleep(self._rng.uniform(0.0, self.slow[host]))
             HOST.set(source)
@@ -145,6 +162,15 @@
     def _drawn(self, share: float) -> bool:
         return self._rng.random() < share
 
+    def deliver_kept(self, addresses: Collection[str], within_s: float) -> None:
+        """The copies that were kept arrive at all these addresses, within so long."""
+        kept, self._kept = self._kept, defaultdict(list)
+        for messages in kept.values():
+            for message in messages:
+                for address in addresses:
+                    assert self.nursery is not None
+                    self.nursery.start_soon(self._again, address, *message, 0.0, within_s)
+
     async def _again(
         self, address: str, method: str, target: str, payload: bytes, least_s: float, most_s: float
     ) -> None:
--- a/ryegauge/emulator/rules.py
+++ b/ryegauge/emulator/rules.py
@@ -26,6 +26,10 @@
         self.cancelled_at: dict[str, float] = {}
         self.asked_to_cancel: set[str] = set()
         self.final: dict[str, str] = {}
+        # When it was first heard that a job was accepted, and that it was over.
+        self.accepted_at: dict[str, float] = {}
+        self.final_at: dict[str, float] = {}
+        self.impossible: set[str] = set()  # submitted, and never to be accepted
         self.specs: dict[str, dict[str, Any]] = {}
         self.starts = 0
         # Jobs about which questions are not answered, and since when.
@@ -103,8 +107,17 @@
         if now - since > FORGOTTEN_S:
             self.broke("forgotten", f"{uid}: no question answered for {now - since:.0f} s")
 
-    def answered(self, uid: str, status: int, body: Any, asked: str) -> None:
-        if uid in self.accepted and (status == 404 or (asked == "submit" and status in (400, 422))):
+    def answered(
+        self, uid: str, status: int, body: Any, asked: str, sent: float | None = None
+    ) -> None:
+        """An answer was heard to a question that was `sent` then. What had been heard before, by
+        anybody, binds it; of two that were under way at once the older may come last. Without
+        `sent` all that was heard before the answer binds it."""
+        heard_by = trio.current_time() if sent is None else sent
+        if uid in self.accepted and (
+            (status == 404 and self.accepted_at.get(uid, 0.0) <= heard_by)
+            or (asked == "submit" and status in (400, 422))
+        ):
             self.broke("forgotten", f"{uid} is answered {status}")
         if status in (200, 201, 404):
             self.unanswered.pop(uid, None)
@@ -112,16 +125,19 @@
             self.check_forgotten(uid)
         if status not in (200, 201):
             return
+        if uid in self.impossible:
+            self.broke("took_impossible", f"{uid} is answered {status}")
+            return
         if uid not in self.specs:
             self.broke("invented", uid)
             return
         self.accepted.add(uid)
+        self.accepted_at.setdefault(uid, trio.current_time())
         now = body["status"]
-        before = self.final.get(uid)
-        if before is not None and now != before:
-            self.broke("went_back", f"{uid} was {before}, is {now}")
+        self.check_older(uid, now, heard_by)
         if now in ("done", "cancelled"):
             self.final[uid] = now
+            self.final_at.setdefault(uid, trio.current_time())
         if now == "cancelled":
             if not {uid, *self.needs_of(uid)} & self.asked_to_cancel:
                 self.broke("went_back", f"{uid} is cancelled, which nobody asked for")
@@ -138,6 +154,14 @@
             if done < pieces:
                 self.broke("not_done", f"{uid}: {done} of {pieces}")
 
+    def check_older(self, uid: str, now: str, heard_by: float) -> None:
+        before = self.final.get(uid)
+        if before is None or now == before:
+            return
+        # One end excludes the other, whenever the question was sent.
+        if now in ("done", "cancelled") or self.final_at.get(uid, 0.0) <= heard_by:
+            self.broke("went_back", f"{uid} was {before}, is {now}")
+
     async def watch(self) -> None:
         while True:
             await trio.sleep(0.5)
