Checker: a job left waiting beside free room; the new troubles and checks each with a test

Change: emulator/waiting.py looks every 5 s once a day's troubles are over and breaks left_waiting for a task that has waited for more than 90 s beside the same usable machine. Not looked at: gangs, jobs that fail everywhere, jobs that somebody asked to cancel.

It holds each answer against what was heard before its question was sent, and the check for waiting jobs against twelve reasons to wait.

--- a/ryegauge/emulator/rules.py
+++ b/ryegauge/emulator/rules.py
@@ -5,6 +5,7 @@
 
 import trio
 
+from ryegauge.emulator.waiting import LOOK_S, Waiting
 from ryegauge.emulator.workers import Worker
 
 if TYPE_CHECKING:
@@ -163,8 +164,12 @@
             self.broke("went_back", f"{uid} was {before}, is {now}")
 
     async def watch(self) -> None:
+        waiting, looked_at = Waiting(self.world), 0.0
         while True:
             await trio.sleep(0.5)
+            if trio.current_time() >= looked_at + LOOK_S:
+                looked_at = trio.current_time()
+                waiting.look()
             on = [w for w in self.world.workers.values() if w.alive]
             for w in on:
                 for task in w.on_machine():
--- a/ryegauge/emulator/users.py
+++ b/ryegauge/emulator/users.py
@@ -33,8 +33,9 @@
 
     def __init__(self, world: "World") -> None:
         self._world = world
-        self._at_end = 0.0  # this share of jobs that end is cancelled then
-        self._close = False
+        self.at_end = 0.0  # this share of jobs that end is cancelled then
+        self.close = False
+        self.odd_since: float | None = None
         self._odd = 0
 
     async def question(
@@ -95,19 +96,19 @@
 
     @contextmanager
     def cancel_at_end(self, share: float) -> Iterator[None]:
-        self._at_end = share
+        self.at_end = share
         try:
             yield
         finally:
-            self._at_end = 0.0
+            self.at_end = 0.0
 
     def task_done(self, task: str) -> None:
-        if not (self._at_end or self._close):
+        if not (self.at_end or self.close):
             return
         world, uid = self._world, task.rpartition("/")[0]
         pieces = world.checker.specs[uid]["pieces"]
         if all(f"{uid}/{i}" in world.results for i in range(pieces)):
-            if self._at_end and world.rng.random() < self._at_end:
+            if self.at_end and world.rng.random() < self.at_end:
                 world.nursery.start_soon(self._call_off, uid, world.rng.uniform(0.0, END_S))
             self._look(uid)
 
@@ -115,16 +116,16 @@
 
     @contextmanager
     def close_looks(self) -> Iterator[None]:
-        self._close = True
+        self.close = True
         try:
             yield
         finally:
-            self._close = False
+            self.close = False
 
     def _look(self, uid: str, new: bool = False) -> None:
         """At all nodes, again and again, and a repeated submission; of new jobs some are
         cancelled."""
-        if not self._close:
+        if not self.close:
             return
         world = self._world
         for n in range(LOOKS):
@@ -158,10 +159,12 @@
                     await trio.sleep(self._world.rng.uniform(*ODD_S))
                     await self._odd_request()
 
+        self.odd_since = trio.current_time()
         self._world.nursery.start_soon(keep_on)
         try:
             yield
         finally:
+            self.odd_since = None
             scope.cancel()
 
     async def _odd_request(self) -> None:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -1,5 +1,6 @@
 """The stand-ins keep the protocol that controllers are tested against."""
 
+import math
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any
@@ -8,12 +9,19 @@
 import trio
 import trio.testing
 from click.testing import CliRunner
+from conftest import job_body
+from days import play
+from test_world import some_controllers
 
 from ryegauge.cli import main
 from ryegauge.config import ConfigError, read_toml
 from ryegauge.emulator.live import Emulation, Installation, loopback
+from ryegauge.emulator.network import KEPT_REPORTS
 from ryegauge.emulator.state import StateService
-from ryegauge.transport.http import TcpNetwork, encode
+from ryegauge.emulator.waiting import LOOK_S, Waiting
+from ryegauge.emulator.workers import Attempt
+from ryegauge.emulator.world import World
+from ryegauge.transport.http import NoAnswer, Reply, TcpNetwork, decode, encode
 
 
 def simulated(scenario: Callable[[], Awaitable[Any]]) -> Any:
@@ -166,3 +174,232 @@
 
     assert trio.run(scenario)["done"] == 3
     assert sorted(out.read_text().split()) == [f"wk-000001/{n}" for n in range(3)]
+
+
+def surrounded(tmp_path: Path, scenario: Callable[[World], Awaitable[Any]]) -> Any:
+    """A world without controllers and with time that passes, for what surrounds them."""
+
+    async def run() -> Any:
+        world = World(some_controllers(tmp_path, 3), 0)
+        async with trio.open_nursery() as nursery:
+            world.nursery = world.network.nursery = nursery
+            world.network.handlers[world.settings[0].outside.state] = world.state.handle
+            result = await scenario(world)
+            nursery.cancel_scope.cancel()
+        return result
+
+    return simulated(run)
+
+
+def listen(world: World) -> list[tuple[str, int, int]]:
+    """Who reported what to whom: (address, shift, tally), each answered with a token."""
+    heard: list[tuple[str, int, int]] = []
+
+    def handler(address: str) -> Any:
+        async def handle(method: str, target: str, body: bytes) -> Reply:
+            report = decode(body)
+            heard.append((address, report["shift"], report["tally"]))
+            return Reply(200, {"baton": 1, "orders": []})
+        return handle
+
+    for address in world.controllers.values():
+        world.network.handlers[address] = handler(address)
+    return heard
+
+
+def test_a_mute_machine_reaches_nobody_and_obeys_direct_commands(tmp_path: Path) -> None:
+    async def scenario(world: World) -> None:
+        heard = listen(world)
+        worker = world.workers[world.rent("small", "a", True)]
+        await trio.sleep(30.0)
+        with world.mute([worker.name]):
+            await trio.sleep(0.1)  # what was on its way
+            count = len(heard)
+            for baton, shift, expected in ((1, 1, 200), (0, 1, 409), (1, 2, 409)):
+                body = {"baton": baton, "shift": shift, "orders": []}
+                assert expected == (await world.network.call(
+                    "10.0.0.1", worker.address, "POST", "/commands", body, 2.0))[0]
+            await trio.sleep(world.lease_s + 1.0)
+            assert count > 10
+            assert len(heard) == count
+            assert worker.session == 2  # a direct answer renews no lease
+        await trio.sleep(10.0)
+        assert len(heard) > count
+
+    surrounded(tmp_path, scenario)
+
+
+def test_of_a_lost_write_only_the_answer_is_lost(tmp_path: Path) -> None:
+    async def scenario(world: World) -> None:
+        service = world.settings[0].outside.state
+        write = {"if": [], "apply": [put("a/1", 1)]}
+        with world.late_writes(1.0, at_once=True):
+            with pytest.raises(NoAnswer):
+                await world.network.call("10.0.0.1", service, "POST", "/multi", write, 0.1)
+            assert world.state.data["a/1"][1] == 1
+            answer = await world.network.call("10.0.0.2", service, "GET", "/kv/a/1", None, 0.1)
+            assert answer[0] == 200
+            # What is refused is not carried out either.
+            with world.refused_by_state(0):
+                answer = await world.network.call(
+                    "10.0.0.1", service, "POST", "/multi", write, 0.1)
+                assert (answer[0], world.state.revision) == (503, 1)
+
+    surrounded(tmp_path, scenario)
+
+
+def test_kept_reports_arrive_at_all_once_a_new_leader_is_on_record(tmp_path: Path) -> None:
+    async def scenario(world: World) -> None:
+        heard = listen(world)
+        world.rent("small", "a", True)
+        with world.late_reports(1.0, for_next=True):
+            await trio.sleep(40.0)
+        count = len(heard)
+        assert len({tally for _, _, tally in heard}) == count  # nothing twice so far
+        for expected in (3 * KEPT_REPORTS, 0):
+            before = len(heard)
+            await call(world.state, "POST", "/multi", {"if": [], "apply": [put("r/l", {})]})
+            await trio.sleep(world.report_s)
+            old = [one for one in heard[before:] if one[2] <= count]
+            assert len(set(old)) == len(old) == expected
+
+    surrounded(tmp_path, scenario)
+
+
+SPEC: dict[str, Any] = {
+    **job_body("wk-1", pieces=1), "really": 5.0, "broken": False,
+}
+
+
+@pytest.mark.parametrize(
+    ("first", "then", "sent", "rule"),
+    [
+        # Heard at 1, the next answer at 3: what was sent before 1 may be overtaken.
+        ((201, "queued"), ("poll", 404, None), 2.0, "forgotten"),
+        ((201, "queued"), ("poll", 404, None), 1.0, "forgotten"),
+        ((201, "queued"), ("poll", 404, None), 0.5, None),
+        ((201, "queued"), ("submit", 422, None), 0.5, "forgotten"),
+        ((200, "cancelled"), ("submit", 201, "queued"), 2.0, "went_back"),
+        ((200, "cancelled"), ("submit", 201, "queued"), None, "went_back"),
+        ((200, "cancelled"), ("submit", 201, "queued"), 0.5, None),
+        ((200, "cancelled"), ("poll", 200, "running"), 1.0, "went_back"),
+        ((200, "cancelled"), ("cancel", 200, "done"), 0.5, "went_back"),
+    ],
+)
+def test_an_answer_is_held_against_what_was_heard_before_it_was_asked(
+    tmp_path: Path, first: tuple[int, str], then: tuple[str, int, str | None],
+    sent: float | None, rule: str | None,
+) -> None:
+    async def scenario(world: World) -> list[str]:
+        checker = world.checker
+        checker.specs["wk-1"], checker.asked_to_cancel = SPEC, {"wk-1"}
+        world.results = {"wk-1/0"}
+        await trio.sleep(1.0)
+        checker.answered("wk-1", first[0], {"status": first[1]}, "poll", 0.0)
+        await trio.sleep(2.0)
+        asked, status, says = then
+        checker.answered("wk-1", status, says and {"status": says}, asked, sent)
+        return checker.broken
+
+    broken = surrounded(tmp_path, scenario)
+    assert [line.split()[1].rstrip(":") for line in broken] == ([rule] if rule else [])
+
+
+def test_a_job_that_cannot_run_is_not_to_be_accepted(tmp_path: Path) -> None:
+    async def scenario(world: World) -> list[str]:
+        world.checker.impossible.add("wk-99")
+        for status in (400, 422, 404, 503, 201):
+            world.checker.answered("wk-99", status, {"status": "queued"}, "submit", 0.0)
+        return world.checker.broken
+
+    assert [line.split()[1] for line in surrounded(tmp_path, scenario)] == ["took_impossible:"]
+
+
+@pytest.mark.parametrize(
+    "why_not",
+    ["", "troubled", "soon", "over", "cancelled", "placed", "no room", "limit", "type", "zone",
+     "spot", "needs", "hung", "down"],
+)
+def test_a_job_left_waiting_beside_room_is_told(tmp_path: Path, why_not: str) -> None:
+    """A machine of four cores, a task of two; each of the reasons for which it may wait."""
+
+    async def scenario(world: World) -> list[str]:
+        checker, spec = world.checker, dict(SPEC)
+        checker.specs |= {"wk-1": spec, "wk-2": {**SPEC, "cpus": 3.0, "crew": "blue"}}
+        checker.accepted.add("wk-1")
+        worker, other = (world.workers[world.rent(t, "a", True)] for t in ("small", "large"))
+        worker.boot_factor = other.boot_factor = math.inf  # they do nothing by themselves
+        worker.up, world.calm_since = True, 0.0
+        match why_not:
+            case "troubled":
+                world.calm_since = 60.0
+            case "over":
+                checker.final["wk-1"] = "done"
+            case "cancelled":
+                checker.asked_to_cancel.add("wk-1")
+            case "placed":
+                worker.tasks["wk-1/0"] = Attempt(1)
+            case "no room":
+                worker.tasks["wk-2/0"] = Attempt(1)
+            case "limit":
+                checker.specs["wk-2"]["cpus"], checker.specs["wk-2"]["crew"] = 31.0, "red"
+                other.tasks["wk-2/0"] = Attempt(1)
+            case "type":
+                spec["builds"] = ["large"]
+            case "zone":
+                spec["district"] = "b"
+            case "spot":
+                spec["loaners"] = False
+            case "needs":
+                spec["awaits"] = ["wk-2"]
+            case "hung":
+                worker.hung_until = 50.0
+            case "down":
+                world.lose(worker)
+        waiting = Waiting(world)
+        for _ in range(19 if why_not == "soon" else 25):
+            waiting.look()
+            await trio.sleep(LOOK_S)
+        return checker.broken
+
+    broken = surrounded(tmp_path, scenario)
+    told = [line.split()[1] for line in broken]
+    assert told == ([] if why_not else ["left_waiting:"])
+
+
+def test_users_look_closely_ask_oddly_and_cancel_at_the_end(tmp_path: Path) -> None:
+    """Each is done when it should be, and controllers keep the rules under it."""
+    asked: list[tuple[str, str, float, int]] = []
+
+    async def script(world: World) -> None:
+        answered = world.checker.answered
+
+        def heard(uid: str, status: int, body: Any, what: str, sent: float | None = None) -> None:
+            asked.append((uid, what, sent or 0.0, status))
+            answered(uid, status, body, what, sent)
+
+        world.checker.answered = heard  # type: ignore[method-assign]
+        await trio.sleep(10.0)
+        with world.close_looks(), world.cancel_at_end(1.0), world.odd_requests():
+            await trio.sleep(50.0)
+        await world.cancel_now(2, 5.0)
+
+    jobs = [{"pieces": 2, "cpus": 1.0, "delay": 3.0 * n} for n in range(10)]
+    jobs += [{"pieces": 1, "cpus": 1.0, "delay": 30.0, "really": 300.0} for _ in range(4)]
+    world = play(some_controllers(tmp_path, 3), 3, jobs, script, 100.0)
+    assert world.checker.broken == []
+    odd = [status for uid, what, _, status in asked if uid in world.checker.impossible
+           and what == "submit"]
+    assert len(odd) > 20
+    assert set(odd) <= {400, 422}
+    ends = {e.uid: e.at for e in world.happened if e.what == "ended" and e.detail == "done"}
+    close = [uid for uid, end in ends.items() if 10.0 < end < 60.0 and sum(
+        u == uid and what == "poll" and 0.0 <= sent - end < 0.03 for u, what, sent, _ in asked
+    ) >= 9]
+    assert len(close) >= 6
+    at_end = {u for u, what, sent, _ in asked if what == "cancel" and u in ends
+              and 0.0 <= sent - ends[u] <= 0.6}
+    assert len(at_end) >= 6
+    at_once = {u for u, what, sent, _ in asked if what == "cancel" and 60.0 <= sent <= 60.3}
+    assert len(at_once) == 2
+    assert sum(e.what == "hung" for e in world.happened) >= 1
