Owner: a report held beyond its lease, a start that no answer settles; tests of hand-overs

A machine that a new owner had answered once, and whose next report was then held for longer than its lease, counted as there again: what it had been dropped with was the session of its last report under our token, and it had none yet. Its tasks, by then free and handed back, were taken for tasks whose record the state service had lost; with rebuilding on that begins a new era. Now the session of its last report counts as ended, unless an authority before ours may still have answered it. (test_a_report_held_for_longer_than_its_lease, test_a_lease_that_others_may_have_renewed.)

A direct start without an answer whose task was withdrawn held its task, and its team's room, until the session's end or the machine's return; beside a service neither comes. Now the next answer to a check-in gives `run` and `kill` of the attempt, in order: the worker then knows it as ended, and the start that is on its way has no effect. (test_a_start_without_an_answer_is_settled_beside_long_tasks.)

--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -304,9 +304,18 @@
             raise
         for key in sorted(machine.tasks):
             task = self.tasks[key]
-            if task.phase == "placed" and not task.withdrawn and not machine.retiring:
+            if task.phase != "placed":
+                continue
+            if not task.withdrawn and not machine.retiring:
                 task.sent = True
                 commands.append(Run(key, task.attempt))
+            elif checkin and (key, task.attempt) in machine.direct:
+                # Not wanted any more, and sent straight without an answer: it may yet begin. In
+                # order, so that it is over before it does; the worker keeps it as ended (it is
+                # not forgotten in this session), and the start that is on its way has no effect.
+                # (Only the session's end or the machine's return would have proved it gone, and
+                # beside a service neither comes: it counted against its team for good.)
+                commands += [Run(key, task.attempt), Kill(key, task.attempt, 0.0)]
         if machine.tasks or machine.alive:
             machine.idle_since = now
         if commands:
@@ -585,7 +594,7 @@
                 for key in list(machine.tasks):
                     self._end(self.tasks[key])
                 self._hearing.forget(machine.name)
-                self._gave_up(machine.name, (machine.stamp[0], math.inf))
+                self._gave_up(machine.name, (self._ended_session(machine), math.inf))
                 del self.machines[machine.name]
         if self._rebuilding:
             if self._stage != REBUILT:
@@ -608,6 +617,15 @@
                 self._end(self.tasks[key])
         self._place(now, wall)
 
+    def _ended_session(self, machine: Machine) -> int:
+        """The latest session that has surely ended, of a machine whose lease has run out here. One
+        that has not shown our token may have been answered by an authority before ours, but only
+        until that had ended. (Its report that was held for longer made it count as there, and its
+        tasks, handed back since, as lost by the state service.)"""
+        if machine.heard_at < self._authority_ended_at:
+            return machine.stamp[0]
+        return max(machine.stamp[0], machine.checked_in[0])
+
     def _give_up_deaf(self, now: float) -> None:
         """Machines that report and never show our token, although they were answered for more
         than a lease: what was on them has ended with it, but nothing that they say can prove it,
--- /dev/null
+++ b/tests/test_handover.py
@@ -0,0 +1,264 @@
+"""What changes hands: a part or the leadership, while jobs are cancelled, while reports come late,
+and while tasks go on that end far apart."""
+
+from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
+from pathlib import Path
+from typing import Any
+
+import pytest
+import trio
+from days import Day, play
+from test_part import TOKEN, TYPES, UID, Part
+from test_world import some_controllers
+
+from ryegauge.config import Settings
+from ryegauge.coordination.part import PartOwner
+from ryegauge.protocol.workers import Kill, Run
+
+BEFORE = ((TOKEN - 9) << 20) + 1  # an attempt of the authority before
+EARLIER = TOKEN - 9
+
+
+# -- late reports ---------------------------------------------------------------------------
+
+
+def looking(part: Part, settings: Settings, authority_ended_at: float) -> None:
+    """With an owner that looks for tasks whose records were lost."""
+    part.owner = PartOwner(
+        0, TOKEN, part.book, settings, lambda: TYPES, part.now, authority_ended_at, True
+    )
+    part.book.on_job.append(part.owner.on_job)
+
+
+def test_a_report_held_for_longer_than_its_lease(settings: Settings) -> None:
+    """Found by reading: a machine was answered once and shown our token, and its next report was
+    held until its lease had surely run out. The machine counted as there again, and its task, long
+    handed back, as one whose record the state service had lost: a new era began."""
+    part = Part(settings, [0])
+    looking(part, settings, part.now)
+    part.report((0, BEFORE, "running"), token=EARLIER, seq=1)
+    part.tick(11.0)
+    assert part.phase(0) == "leaving"
+    part.allot([])
+    part.report((0, BEFORE, "running"), seq=2)
+    assert part.owner.machines == {}
+    assert part.owner.strays == {}
+    part.report(session=2, seq=3)
+    assert part.owner.machines["m-1"].trusted
+
+
+def test_a_lease_that_others_may_have_renewed(settings: Settings) -> None:
+    """An authority before ours may answer until it has ended: what we did not hear meanwhile
+    proves nothing."""
+    part = Part(settings, [0])
+    looking(part, settings, part.now + 20.0)
+    part.report((0, BEFORE, "running"), token=EARLIER, seq=1)
+    part.tick(11.0)
+    part.report((0, BEFORE, "running"), seq=2)
+    assert part.phase(0) == "seen"
+
+
+@pytest.mark.parametrize("state", ["fetching", "running", "ended"])
+def test_old_reports_prove_nothing_to_a_new_owner(settings: Settings, state: str) -> None:
+    """Of a machine that was released, of an earlier session and of an earlier attempt; before the
+    first report under our token and after it."""
+    part = Part(settings, [0, 1, 2, 3])
+    part.report((0, 7, state), machine="m-9", token=EARLIER, seq=3)
+    part.report((1, 6, state), (2, 5, state), machine="m-2", token=EARLIER, seq=9)
+    assert [part.phase(i) for i in range(4)] == ["unseen"] * 4
+    part.report((1, 8, "running"), machine="m-2", session=2, seq=50)
+    for session, seq, token in ((1, 10, EARLIER), (1, 48, TOKEN), (2, 49, EARLIER), (2, 49, TOKEN)):
+        old = part.report(
+            (1, 6, state), (1, 8, state), (2, 5, state), machine="m-2", session=session, seq=seq,
+            token=token,
+        )
+        assert old == []
+    assert [part.phase(i) for i in range(4)] == ["unseen", "seen", "unseen", "unseen"]
+    assert part.owner.tasks[UID, 1].attempt == 8
+    # The released machine holds the barrier for a lease at most, however often its copies come.
+    for n in range(12):
+        part.tick(1.0)
+        part.report((1, 8, "running"), machine="m-2", session=2, seq=51 + n)
+        part.report((0, 7, state), machine="m-9", token=EARLIER, seq=3 - n % 3)
+    assert "m-9" not in part.owner.machines
+    assert part.phase(1) == "seen"
+    assert "unseen" not in [part.phase(i) for i in range(4)]
+
+
+def test_a_start_without_an_answer_is_settled_beside_long_tasks(settings: Settings) -> None:
+    """Found by reading: a start was lost on its way and its job cancelled. Only the end of the
+    session or the machine's return proved that it would not begin, and neither comes while a
+    service runs there: the task counted against its team for good."""
+    part = Part(settings, [])
+    service = part.start(3)
+    part.report((3, service, "running"))
+    part.allot([0, 3])
+    part.tick()
+    ((_, _, _, (run,)),) = part.owner.to_push(part.now, 10)
+    assert isinstance(run, Run)
+    task = part.owner.tasks[UID, 0]
+    task.withdrawn = True  # only this one, as when it is stopped for others
+    commands = part.report((3, service, "running"))
+    # In order: known to the worker from then on, and over before it can begin.
+    assert commands == [Run(task.key, run.attempt), Kill(task.key, run.attempt, 0.0)]
+    assert part.report((3, service, "running")) == commands  # the answer may be lost
+    part.report((0, run.attempt, "ended"), (3, service, "running"), why="stopped")
+    assert part.phase(0) == "leaving"
+    # It stays known there, so that the start that was held up changes nothing.
+    assert part.report((0, run.attempt, "ended"), (3, service, "running"), why="stopped") == []
+
+
+# -- cancellations --------------------------------------------------------------------------
+
+ONE: list[dict[str, Any]] = [
+    {"pieces": 1, "cpus": 1.0, "memoryGb": 1.0, "really": 300.0, "crew": crew}
+    for _ in range(9) for crew in ("red", "blue")
+]
+
+
+async def confirm(world: Day, uid: str, n: int) -> None:
+    """Asks controller `n`, and the next ones in turn, until one has confirmed it."""
+    world.checker.asked_to_cancel.add(uid)
+    while await world.users.question(uid, "cancel", controller=n % len(world.settings)) != 200:
+        n += 1
+        await trio.sleep(0.1)
+
+
+async def cancel_all_along(world: Day, uids: list[str], seconds: float) -> None:
+    """One after the other, each at another controller first."""
+    for n, uid in enumerate(uids):
+        world.nursery.start_soon(confirm, world, uid, n)
+        await trio.sleep(seconds / len(uids))
+
+
+def hosts(world: Day) -> set[str]:
+    return {world.host_of(n) for n in range(len(world.settings))}
+
+
+def apart(world: Day, n: int) -> AbstractContextManager[None]:
+    return world.cut_from_state_and_peers(n, hold=True)
+
+
+def deaf(world: Day, n: int) -> AbstractContextManager[None]:
+    return world.cut({world.host_of(n)}, set(world.workers), hold=False)
+
+
+# What becomes of an owner, how soon it is started again, and how often.
+CHANGES: dict[str, tuple[Callable[[Day, int], AbstractContextManager[None]] | None, float, int]] = {
+    "ends and comes home": (None, 4.0, 1),
+    "back at once": (None, 0.05, 3),
+    "its successor ends as well": (None, 9.0, 2),
+    "deaf": (deaf, 4.0, 1),
+    "commands alone": (apart, 4.0, 1),
+}
+
+
+@pytest.mark.parametrize("how", CHANGES)
+def test_cancelled_while_a_part_changes_hands(tmp_path: Path, how: str) -> None:
+    """Before, between and after; confirmed by the old owner, by the new one and by others."""
+    trouble, restart_s, times = CHANGES[how]
+    claims: list[int] = []
+
+    async def script(world: Day) -> None:
+        world.restart_s = restart_s
+        await trio.sleep(32.0)
+        assert len({t for w in world.workers.values() for t in w.on_machine()}) == len(ONE)
+        before = len(world.written)
+        world.nursery.start_soon(cancel_all_along, world, sorted(world.checker.accepted), 20.0)
+        await trio.sleep(3.0)
+        owner = world.names.index(world.state.data["r/p/1"][0]["o"])
+        for n in range(times) if trouble is None else ():
+            world.crash((owner + n) % 3)
+            await trio.sleep(4.0)
+        with nullcontext() if trouble is None else trouble(world, owner):
+            await trio.sleep(44.0 if trouble is apart else 14.0)
+        claims.extend(key.startswith("r/p/") for key, _ in world.written[before:])
+
+    world = play(some_controllers(tmp_path, 3), 21, ONE, script, 94.0)
+    assert sum(claims) >= 1
+    assert world.checker.broken == []
+    assert len(world.checker.cancelled_at) == len(ONE)
+    assert not [t for w in world.workers.values() if w.alive for t in w.on_machine()]
+
+
+# -- reports for the next leader ---------------------------------------------------------------
+
+MANY: list[dict[str, Any]] = [
+    *({"pieces": 4, "cpus": 1.0, "memoryGb": 1.0, "really": 40.0, "crew": crew}
+      for _ in range(4) for crew in ("red", "blue")),
+    *({"pieces": 4, "cpus": 1.0, "memoryGb": 1.0, "crew": crew, "delay": 36.0}
+      for crew in ("red", "blue")),
+]
+
+
+@pytest.mark.parametrize("held_s", [0.0, 14.0])
+def test_old_reports_reach_all_as_a_leader_begins(tmp_path: Path, held_s: float) -> None:
+    """As it is recorded, or once it has acted; some of their machines are lost."""
+    kept: list[int] = []
+    claims: list[str] = []
+
+    async def script(world: Day) -> None:
+        world.restart_s = 9.0
+        await trio.sleep(30.0)
+        with world.late_reports(1.0, for_next=True):
+            await trio.sleep(5.0)
+        if held_s:
+            world.state.on_write.remove(world._written)
+        for worker in [w for w in world.workers.values() if w.on_machine()][::4]:
+            world.lose(worker)
+        leader, before = world.leading, len(world.written)
+        assert leader is not None
+        kept.append(len(world.network._kept))
+        world.crash(leader)
+        await trio.sleep(8.0)
+        assert world.leading not in (leader, None)
+        kept.append(len(world.network._kept))
+        await trio.sleep(max(0.0, held_s - 8.0))
+        world._written("r/l", None)
+        await confirm(world, "wk-000001", 1)
+        await trio.sleep(10.0)
+        claims.extend(key for key, _ in world.written[before:] if key.startswith("r/p/"))
+
+    world = play(some_controllers(tmp_path, 3), 22, MANY, script, 135.0)
+    assert kept[0] > 3
+    assert kept[1] == (kept[0] if held_s else 0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    # Taken over once, and back home: what was sent before makes no owner take itself for deaf.
+    assert len(claims) == 2
+
+
+# -- tasks that end far apart ---------------------------------------------------------------------
+
+
+def test_tasks_that_end_far_apart_across_changes_of_leader(tmp_path: Path) -> None:
+    """Each runs once, and its job is done when the last has ended, whoever leads by then."""
+    jobs: list[dict[str, Any]] = [
+        {"pieces": pieces, "cpus": 1.0, "really": 12.0 + 3 * n, "apart": 23.0 + n, "crew": crew,
+         "delay": 2.0 * n}
+        for n, (pieces, crew) in enumerate([(2, "red"), (3, "blue"), (3, "red"), (2, "blue")] * 2)
+    ]
+    leaders: list[int] = []
+
+    async def script(world: Day) -> None:
+        world.restart_s = 9.0
+        await trio.sleep(35.0)
+        for _ in range(4):
+            leader = world.leading
+            assert leader is not None
+            leaders.append(leader)
+            world.crash(leader)
+            await trio.sleep(14.0)
+
+    world = play(some_controllers(tmp_path, 3), 23, jobs, script, 130.0)
+    assert len(set(leaders)) > 1
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    started = [event.task for event in world.happened if event.what == "started"]
+    assert sorted(started) == sorted(
+        f"wk-{n + 1:06d}/{i}" for n, job in enumerate(jobs) for i in range(job["pieces"])
+    )
+    ended = {e.uid: e.at for e in world.happened if e.what == "ended"}
+    final = {e.uid: e.at for e in world.happened if e.what == "final"}
+    assert max(final[uid] - at for uid, at in ended.items()) < 15.0
