A start of a cancelled job is never given again, not even to be ended; a service makes way for it

Change: only of jobs that aren't cancelled. For a cancelled one its machine is returned, as before, and a service that runs there, which never ends by itself, is moved, so that the machine empties.

--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -309,12 +309,17 @@
             if not task.withdrawn and not machine.retiring:
                 task.sent = True
                 commands.append(Run(key, task.attempt))
-            elif checkin and (key, task.attempt) in machine.direct:
+            elif (
+                checkin
+                and (key, task.attempt) in machine.direct
+                and not self._book.is_cancelled(key[0])
+            ):
                 # Not wanted any more, and sent straight without an answer: it may yet begin. In
                 # order, so that it is over before it does; the worker keeps it as ended (it is
                 # not forgotten in this session), and the start that is on its way has no effect.
                 # (Only the session's end or the machine's return would have proved it gone, and
-                # beside a service neither comes: it counted against its team for good.)
+                # beside a service neither comes: it counted against its team for good.) Never of
+                # a cancelled job: nothing of it may be started, not even to be ended.
                 commands += [Run(key, task.attempt), Kill(key, task.attempt, 0.0)]
         if machine.tasks or machine.alive:
             machine.idle_since = now
@@ -406,6 +411,10 @@
             # The cloud takes the machine before the task would end: it starts anew
             # elsewhere at once instead of after the loss.
             task.moving = True
+        if machine.retiring and job is not None and job.spec.kind == "standing":
+            # The machine is to be returned, and a service never ends: what a start of a cancelled
+            # job that got no answer holds would count against its team for good.
+            task.moving = True
         if task.moving and not task.withdrawn:
             commands.append(Kill(key, attempt, 0.0))
         if task.withdrawn:
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -8,13 +8,16 @@
 
 import pytest
 import trio
+from conftest import job_body
 from days import Day, play
 from test_part import TOKEN, TYPES, UID, Part
 from test_world import some_controllers
 
+from ryegauge.bookkeeping.jobbook import job_key, job_record, share_key
 from ryegauge.config import Settings
 from ryegauge.coordination.part import PartOwner
-from ryegauge.protocol.workers import Kill, Run
+from ryegauge.protocol.jobs import parse_job
+from ryegauge.protocol.workers import Command, Kill, Report, Run, TaskReport
 
 BEFORE = ((TOKEN - 9) << 20) + 1  # an attempt of the authority before
 EARLIER = TOKEN - 9
@@ -109,6 +112,39 @@
     assert part.report((0, run.attempt, "ended"), (3, service, "running"), why="stopped") == []
 
 
+def test_a_cancelled_start_without_an_answer_is_never_begun(settings: Settings) -> None:
+    """Not even to be ended at once: its machine is returned, and a service there moves."""
+    part = Part(settings, [])
+    part.put(job_key("wk-000002"), job_record(
+        parse_job(job_body("wk-000002", shape="standing", crew="red", cpus=1.0, memoryGb=1.0)),
+        0.0, False,
+    ))
+    part.put(share_key("wk-000002", 0), {"t": {"": [0, 1]}, "d": []})
+
+    def told(*tasks: TaskReport) -> list[Command]:
+        part.seq += 1
+        report = Report("m-1", "small", "a", True, 1, part.seq, TOKEN, "m:1", None, list(tasks))
+        return part.owner.on_report(report, part.now)
+
+    told()
+    part.tick()
+    (service,) = told()
+    running = TaskReport("wk-000002/0", service.attempt, "running")
+    assert told(running) == []
+    part.allot([0])
+    part.tick()
+    ((_, _, _, (run,)),) = part.owner.to_push(part.now, 10)
+    part.cancel()
+    assert run.task == (UID, 0)
+    for _ in range(2):
+        commands = told(running)
+        assert not [c for c in commands if c.task == run.task]
+    assert commands == [Kill(service.task, service.attempt, 0.0)]
+    told(TaskReport("wk-000002/0", service.attempt, "ended", "stopped"))
+    told()
+    assert part.owner.view("n", 1, part.now).machines[0].empty
+
+
 # -- cancellations --------------------------------------------------------------------------
 
 ONE: list[dict[str, Any]] = [
