Submissions are recorded in groups as large as what may be written now

A group of twelve needs a full bucket at a controller that does not lead (11 changes), and outcomes and allotments took single changes from it before it was full; sent, it was refused for its rate while single changes of others were not. After an outage groups thus failed as a whole after 2 s, and their users all came again. Now a group takes what there is, one at least.

--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -271,7 +271,9 @@
             if not self._queue:
                 self._queued = trio.Event()
                 continue
-            batch, self._queue = self._take(limit)
+            # What there is now: a full group needs a full bucket, which others drain meanwhile.
+            now = max(1, int(self._state.writes.available(SOON)))
+            batch, self._queue = self._take(min(limit, now))
             try:
                 await self._write(batch)
             except (Unavailable, Unknown, Gone) as error:
