Who waits for the budget has its turn: the most urgent first, then in order

Each waiter looked at the bucket in a rhythm of its own. The loop of submissions looked again right after it had taken, as often as there was a refill, and a cancellation beside it waited for seconds. Now nobody takes before those that are more urgent or waited earlier.

--- a/ryegauge/bookkeeping/budget.py
+++ b/ryegauge/bookkeeping/budget.py
@@ -9,6 +9,15 @@
 IDLE = 0.6  # what can as well be done later
 
 
+class _Turn:
+    """Somebody waits."""
+
+    __slots__ = ("reserve",)
+
+    def __init__(self, reserve: float) -> None:
+        self.reserve = reserve
+
+
 class Budget:
     """A token bucket: this controller's part of a limit."""
 
@@ -17,6 +26,7 @@
         self.burst = max(1.0, burst)
         self._level = self.burst
         self._at = trio.current_time()
+        self._turns: list[_Turn] = []
 
     def resize(self, rate: float, burst: float) -> None:
         """Another part of the limit, since controllers come and go."""
@@ -33,8 +43,11 @@
         self._refill()
         return self._level - reserve * self.burst
 
+    def has(self, cost: float, reserve: float) -> bool:
+        return self.available(0.0) - cost >= min(reserve * self.burst, self.burst - cost)
+
     def try_take(self, cost: float = 1.0, reserve: float = USUAL) -> bool:
-        if self.available(0.0) - cost < min(reserve * self.burst, self.burst - cost):
+        if not self.has(cost, reserve):
             return False
         self._level -= cost
         return True
@@ -45,5 +58,15 @@
         self._level = min(self._level, 0.0)
 
     async def take(self, cost: float = 1.0, reserve: float = USUAL) -> None:
-        while not self.try_take(cost, reserve):
-            await trio.sleep(max(0.005, 0.5 * cost / self.rate))
+        """The most urgent first, else in turn. (Whoever came back right after a take saw each
+        refill first: a cancellation waited for seconds beside queued submissions.)"""
+        turn = _Turn(reserve)
+        self._turns.append(turn)
+        try:
+            while not self._is_next(turn) or not self.try_take(cost, reserve):
+                await trio.sleep(max(0.005, 0.5 * cost / self.rate))
+        finally:
+            self._turns.remove(turn)
+
+    def _is_next(self, turn: _Turn) -> bool:
+        return turn is min(self._turns, key=lambda other: other.reserve)
