The archive gives way while changes are scarce, until the book is twice too large

Moves out of the book and clearing took changes as allotments do, three for each small job. They now leave what is left for idle outcomes; the loop looks whether there is enough instead of waiting, since it looks up lost outcomes too, which questions wait for. Once the book is twice as large as wanted they take changes as before.

--- a/ryegauge/coordination/leading.py
+++ b/ryegauge/coordination/leading.py
@@ -4,6 +4,7 @@
 
 import trio
 
+from ryegauge.bookkeeping.budget import IDLE, USUAL
 from ryegauge.bookkeeping.jobbook import Share, final_key, job_key, outcome_key, share_key
 from ryegauge.bookkeeping.state import Delete, Put, Unavailable, Unknown
 from ryegauge.coordination import archive
@@ -104,6 +105,7 @@
         shared = self._desk.settings.settings
         limit = int(JOBS_PER_MB * shared.quota.memory_mb)
         ops = self._desk.settings.state_limits.txn_ops
+        writes = self._desk.state.writes
         while True:
             await trio.sleep(self._desk.report_s)
             leader = self._desk.leading()
@@ -115,17 +117,32 @@
                     # In a book that has moved on, another may need it by now.
                     if job.spec.uid not in self._desk.book.dependents:
                         guards, changes = archive.move_out(job, shared.nodes)
-                        await self._clear(leader, guards, changes)
-                while changes := archive.to_clear(self._desk.book, ops):
-                    await self._clear(leader, {}, changes)
+                        if not writes.has(len(changes), self._spared(limit)):
+                            break
+                        await self._clear(leader, guards, changes, self._spared(limit))
+                # Groups that fit into what may be taken of a full bucket.
+                count = max(1, min(ops, int((1 - IDLE) * writes.burst)))
+                while (
+                    (changes := archive.to_clear(self._desk.book, count))
+                    and writes.has(len(changes), self._spared(limit))
+                ):
+                    await self._clear(leader, {}, changes, self._spared(limit))
             except RETRY as error:
                 log.debug("archiving failed: %s", error)
 
+    def _spared(self, limit: int) -> float:
+        """What the archive leaves to others: it is last when changes are scarce, unless the
+        book has become twice as large as wanted."""
+        return USUAL if len(self._desk.book.jobs) > 2 * limit else IDLE
+
     async def _clear(
-        self, leader: Leader, guards: dict[str, int], changes: list[Put | Delete]
+        self, leader: Leader, guards: dict[str, int], changes: list[Put | Delete],
+        reserve: float = USUAL,
     ) -> None:
         guards[LEADER_KEY] = leader.token
-        self._desk.wrote(await self._desk.state.commit(guards, changes, timeout_s=1.0))
+        self._desk.wrote(
+            await self._desk.state.commit(guards, changes, timeout_s=1.0, reserve=reserve)
+        )
         await self._desk.syncer.fresh()
 
     async def _look_up(self, leader: Leader) -> None:
