Answers: one function says what a job's state is, whatever was asked

There were several ways from a question to an answer. FrontDoor.submit answered from the book where a poll refuses or looks further: a job that hangs on a lost outcome 200 queued (poll 503), and, read anew while the question waits and archived, the old Job object, queued (poll done). Found by reading besides: the 201 of a submission under way said queued though the book showed its cancellation by then; a submission that names a need that may have been lost got 422, which is never repeated, where a poll for that need is refused; an outcome that one look found and the next was asked for too could be dropped in between and count as never accepted; a full read was taken in before the changes since its first page, so that a job cancelled between two pages whose last tasks ended after was done for a moment, and told so at once; a queue was never told of an outcome that had been put back after a loss. A done job's repeated submission was 503 in an outage where its poll is 200. Timed out questions stayed in a set of the syncer.

FrontDoor._known is the one function: an end that is known here at once (book, put back, looked up before, confirmed and not yet read), else a read, the book looked up after it, the outcomes, the book again; _check_never says whether nothing may have been lost. The syncer takes a full read in as a whole, of one revision. A look-up keeps what it found for all who asked.

--- a/ryegauge/bookkeeping/finals.py
+++ b/ryegauge/bookkeeping/finals.py
@@ -19,6 +19,10 @@
 class _Batch:
     def __init__(self) -> None:
         self.uids: set[str] = set()
+        # What it found, for all who asked: what is remembered beyond may be dropped before each
+        # of them has looked. (Found by reading: a job that one batch had found while the next
+        # asked for it again counted as never accepted.)
+        self.found: dict[str, dict[str, Any]] = {}
         self.over = False
         self.error: Unavailable | Unknown | None = None
 
@@ -34,6 +38,10 @@
         self._next = _Batch()
         self._turn = trio.Lock()
 
+    def known(self, uid: str) -> dict[str, Any] | None:
+        """What is remembered, without asking."""
+        return self._known.get(uid)
+
     async def find(self, uid: str) -> dict[str, Any] | None:
         return (await self.find_all([uid])).get(uid)
 
@@ -52,31 +60,37 @@
                 if self._next is batch:
                     self._next = _Batch()  # for those who ask from now on
                 try:
-                    await self._look(batch.uids)
+                    await self._look(batch)
                 except (Unavailable, Unknown) as error:
                     batch.error = error
                 batch.over = True
         if batch.error is not None:
             raise batch.error
-        found.update((uid, known[uid]) for uid in missing if uid in known)
+        found.update((uid, batch.found[uid]) for uid in missing if uid in batch.found)
         while len(known) > self._keep + len(batch.uids):
             del known[next(iter(known))]
         return found
 
-    async def _look(self, uids: set[str]) -> None:
-        names = sorted(uids)
+    async def _look(self, batch: _Batch) -> None:
+        names = sorted(batch.uids)
         there: list[str] = []
+        alone: list[str] = []
         for first in range(0, len(names), self._conditions):
             some = {final_key(uid): uid for uid in names[first : first + self._conditions]}
             if len(some) == 1:
-                there += some.values()
+                alone += some.values()
                 continue
             try:
                 await self._state.commit(dict.fromkeys(some, 0), [], timeout_s=TIMEOUT_S)
             except Conflict as conflict:
                 there += [some[key] for key in conflict.failed if key in some]
-        for uid in there:
+        for uid in there + alone:
             if uid not in self._known:
                 record = await self._state.get(final_key(uid), timeout_s=TIMEOUT_S)
                 if record is not None:
                     self._known[uid] = record[0]
+                elif uid not in alone:
+                    # It was there just now, and outcomes are kept for good.
+                    raise Unavailable(f"the outcome of {uid} is not there any more")
+            if uid in self._known:
+                batch.found[uid] = self._known[uid]
--- a/ryegauge/bookkeeping/syncer.py
+++ b/ryegauge/bookkeeping/syncer.py
@@ -24,6 +24,14 @@
         """Everything was read. Raises Unavailable as above."""
 
 
+class _Question:
+    __slots__ = ("done", "failed")
+
+    def __init__(self) -> None:
+        self.done = trio.Event()
+        self.failed = False
+
+
 class Syncer:
     """One read of the changes serves every question that was asked before it began."""
 
@@ -35,8 +43,7 @@
         self._idle_s = idle_s
         self._timeout_s = timeout_s
         self._asked = trio.Event()
-        self._waiting: list[trio.Event] = []
-        self._failed: set[trio.Event] = set()
+        self._waiting: list[_Question] = []
         # When the last successful read was sent: the book holds all that was
         # written before.
         self.began_at = float("-inf")
@@ -58,19 +65,18 @@
 
     async def fresh(self) -> None:
         """Returns once a read that began after this call is taken in."""
-        done = trio.Event()
-        self._waiting.append(done)
+        question = _Question()
+        self._waiting.append(question)
         self._asked.set()
         try:
             with trio.fail_after(1.5 * self._timeout_s):
-                await done.wait()
+                await question.done.wait()
         except trio.TooSlowError:
             raise Unavailable("no read in time") from None
         finally:
-            if done in self._waiting:
-                self._waiting.remove(done)
-        if done in self._failed:
-            self._failed.discard(done)
+            if question in self._waiting:
+                self._waiting.remove(question)
+        if question.failed:
             raise Unavailable("the state service did not answer")
 
     def reread(self) -> None:
@@ -92,9 +98,8 @@
                         except BaseException:
                             self._full = True
                             raise
-                    # After a full read as well: its pages are of different revisions, and
-                    # what follows from several records would follow from a mixture.
-                    await self._read_changes()
+                    else:
+                        await self._read_changes()
                 self.began_at = began
                 self.failures = 0
             except Gone:
@@ -107,10 +112,9 @@
                 self.ready.set()
                 for listener in self.on_sync:
                     listener()
-            else:
-                self._failed.update(served)
-            for event in served:
-                event.set()
+            for question in served:
+                question.failed = self.began_at != began
+                question.done.set()
             pause = self._gap_s if not self.failures else min(0.5, 0.1 * 2**self.failures)
             await trio.sleep_until(began + pause)
             with trio.move_on_at(began + max(pause, self._idle_s())):
@@ -128,9 +132,11 @@
         self._book.apply(events, ledger)
 
     async def _read_all(self) -> None:
-        """Pages are read at different revisions; starting over from the revision of
-        the first one re-applies whatever changed meanwhile."""
-        items: list[Event] = []
+        """Pages are of different revisions, and what follows from several records would follow
+        from a mixture: a job whose last tasks ended after its cancellation would be done until
+        the changes since the first page were read. So these are read before the book takes
+        anything in."""
+        items: dict[str, Event] = {}
         after: str | None = None
         first: int | None = None
         if self.witness is not None:
@@ -138,11 +144,22 @@
         while True:
             page, more, ledger = await self._state.page(PREFIX, after, timeout_s=self._timeout_s)
             first = ledger if first is None else first
-            items.extend(page)
+            items.update((item.key, item) for item in page)
             if not more:
                 break
             after = page[-1].key
+        events, ledger = await self._state.changes(
+            PREFIX, first, timeout_s=self._timeout_s, urgent=False
+        )
+        if ledger < first:
+            raise Unavailable("the state service went back while it was read")
+        for event in events:
+            if event.value is None:
+                items.pop(event.key, None)
+            else:
+                items[event.key] = event
+        whole = [items[key] for key in sorted(items)]
         if self.witness is not None:
-            self.witness.reread(items, first)
-        self._book.replace(items, first)
-        log.info("read the book: %d records, %d jobs under way", len(items), len(self._book.live))
+            self.witness.reread(whole, ledger)
+        self._book.replace(whole, ledger)
+        log.info("read the book: %d records, %d jobs under way", len(whole), len(self._book.live))
--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -65,6 +65,10 @@
         self.outcome: Answer = "unsure"
 
 
+def _final_view(uid: str, status: Outcome, done: int) -> dict[str, Any]:
+    return {"uid": uid, "status": status, "done": done, "running": 0}
+
+
 def _busy(why: str, after_s: float = 1.0) -> Reply:
     return Reply(503, {"error": why}, after_s)
 
@@ -151,10 +155,7 @@
     async def submit(self, spec: JobSpec, beside: tuple[Put, ...] = ()) -> Reply:
         """What a user would be answered; `beside` is written with a job that is new. Raises
         what reading and writing the state service raise."""
-        if (job := self._book.jobs.get(spec.uid)) is not None:
-            await self._fresh()
-            return Reply(200, self._book.jobs.get(spec.uid, job).view())
-        if spec.uid in self._book.packed and (view := await self._known(spec.uid)) is not None:
+        if self._heard_of(spec.uid) and (view := await self._known(spec.uid)) is not None:
             return Reply(200, view)
         types = self._types()
         if not types:
@@ -203,8 +204,7 @@
         outcomes.update((name, record["st"]) for name, record in found.items())
         for name in outside:
             if name not in found and name not in self._book.jobs:
-                if not self._book.era_complete:
-                    raise Unavailable("data was lost, and not all of it is known again")
+                self._check_never(name)
                 return name
         return ""
 
@@ -257,7 +257,10 @@
             if submission in self._queue:
                 self._queue.remove(submission)
         if submission.outcome == "accepted":
-            status = "cancelled" if "x" in record else "queued"
+            # While our write was under way, another controller may have found it and told how
+            # the job ended: the answer is no older than what is known here by now.
+            ended = self._ended(spec.uid)
+            status = ended["status"] if ended else "cancelled" if "x" in record else "queued"
             return Reply(201, {"uid": spec.uid, "status": status})
         if submission.outcome == "known" and (view := await self._known(spec.uid)) is not None:
             return Reply(200, view)
@@ -325,32 +328,69 @@
     # -- questions ------------------------------------------------------------------------
 
     async def _known(self, uid: str) -> dict[str, Any] | None:
-        """The job's state from a read that begins now, or None if it was never accepted. What
-        has an end by the book has it for good, and is answered at once, in an outage too."""
-        if (job := self._book.jobs.get(uid)) is not None and job.over:
-            return job.view()
+        """The job's state from a read that begins now, or None if it was never accepted. All
+        that users are told of a job that may be known comes from here: polls, cancellations
+        and repeated submissions, whatever those say and wherever they meet the job."""
+        if (view := self._ended(uid)) is not None:
+            return view
         await self._fresh()
-        if (job := self._book.jobs.get(uid)) is not None:
-            if not job.over and self._book.hangs_on_lost(job):
-                # One that it needs left the book before its outcome was written for this one:
-                # cancelled perhaps, and then others may have been told that this one is, too.
-                raise Unavailable("the outcome of a job that it needs is being looked up")
-            return job.view()
-        if (packed := self._book.packed.get(uid)) is not None:
-            return {"uid": uid, "status": packed[0], "done": packed[1], "running": 0}
-        record = await self._finals.find(uid)
-        if record is None:
-            if uid in self._book.finals:
-                self.lost(final_key(uid))
-                raise Unavailable("a record that was there is lost")
-            if not self._book.era_complete or trio.current_time() < self.unknown_before:
-                raise Unavailable("not all that may have been lost is known yet")
+        if (view := self._by_book(uid)) is not None:
+            return view
+        if (record := await self._finals.find(uid)) is not None:
+            return _final_view(uid, record["st"], record["d"])
+        # Recorded while its outcome was looked up: by now the book may have it.
+        self._check_whole()
+        if (view := self._by_book(uid)) is not None:
+            return view
+        self._check_never(uid)
+        return None
+
+    def _heard_of(self, uid: str) -> bool:
+        book = self._book
+        return uid in book.jobs or uid in book.packed or self._finals.known(uid) is not None
+
+    def _ended(self, uid: str) -> dict[str, Any] | None:
+        """How a job has ended, as far as is known without a read. What has an end has it for
+        good, and is answered at once, in an outage too."""
+        book = self._book
+        if (job := book.jobs.get(uid)) is not None:
+            if uid in book.cancelled_ahead:
+                # Confirmed to a user, by us or by a peer that named it; not read yet.
+                return _final_view(uid, "cancelled", job.done_count)
+            return job.view() if job.over else None
+        if (packed := book.packed.get(uid)) is not None:
+            return _final_view(uid, *packed)
+        record = self._finals.known(uid)
+        return None if record is None else _final_view(uid, record["st"], record["d"])
+
+    def _by_book(self, uid: str) -> dict[str, Any] | None:
+        """What the book says of a job, which has been read since the question; None: nothing."""
+        if (view := self._ended(uid)) is not None:
+            return view
+        # Looked up now: after a full read it is another object, or has left the book.
+        if (job := self._book.jobs.get(uid)) is None:
             return None
-        return {"uid": uid, "status": record["st"], "done": record["d"], "running": 0}
+        if self._book.hangs_on_lost(job):
+            # One that it needs left the book before its outcome was written for this one:
+            # cancelled perhaps, and then others may have been told that this one is, too.
+            raise Unavailable("the outcome of a job that it needs is being looked up")
+        return job.view()
+
+    def _check_never(self, uid: str) -> None:
+        """Raises Unavailable unless a job of which nothing was found was surely never accepted."""
+        if uid in self._book.finals:
+            self.lost(final_key(uid))
+            raise Unavailable("a record that was there is lost")
+        if not self._book.era_complete or trio.current_time() < self.unknown_before:
+            raise Unavailable("not all that may have been lost is known yet")
 
     async def _fresh(self) -> None:
         """A read that begins now; useless if it shows that data was lost."""
         await self._syncer.fresh()
+        self._check_whole()
+
+    def _check_whole(self) -> None:
+        """Raises Unavailable while the book may show a job as it was before its end."""
         if self._book.era_stage == PUTTING_BACK:
             raise Unavailable("what it lost is being put back")
 
--- a/ryegauge/queues/answers.py
+++ b/ryegauge/queues/answers.py
@@ -127,5 +127,7 @@
         book = self._desk.book
         if (job := book.jobs.get(uid)) is not None:
             return (job.status, job.done_count) if job.over else None
+        if (packed := book.packed.get(uid)) is not None:
+            return packed  # put back after a loss: it has no record of its own
         found = await self._desk.state.get(final_key(uid), timeout_s=1.0)
         return None if found is None else (found[0]["st"], found[0]["d"])
