Each answer that renews a lease ends what was cancelled

Cause: a report from before the machine saw the owner's token, and one behind the answer to a direct command, were answered 200 without commands. The answer renews the lease. A machine that hung after each such answer, one from each new owner, kept a cancelled task for a lease more each time.

Change: such an answer holds a kill for each task of the report whose job is cancelled by the book. Nothing is concluded from it. What it ends under an older token counts against its team until the barrier, at most a lease longer than before.

--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -271,9 +271,9 @@
         if report.token < self.token:
             # Sent before the worker saw this token: it may still have been given
             # commands by an earlier authority. The answer shows it the token.
-            return []
+            return self._kill_cancelled(report)
         if machine.trusted and stamp <= machine.stamp:
-            return []
+            return self._kill_cancelled(report)
         first = not machine.trusted
         new_session = machine.trusted and report.session != machine.stamp[0]
         if new_session:
@@ -327,6 +327,15 @@
             self.revision += 1
         return commands
 
+    def _kill_cancelled(self, report: Report) -> list[Command]:
+        """For a report of which nothing else is taken in: its answer renews the lease, so it
+        ends what has been cancelled. (A machine that hung after each such answer, one from each
+        new owner, kept a cancelled task for a lease more each time, beyond `cancel_s`.)"""
+        return [
+            Kill(key, entry.attempt, 0.0) for entry in report.tasks
+            if entry.state != "ended" and self._book.is_cancelled((key := task_key(entry.task))[0])
+        ]
+
     def _missing(
         self, machine: Machine, reported: dict[tuple[TaskKey, int], TaskReport],
         new_session: bool, checkin: bool,
