Machines first heard of after the barrier do not hold it

Cause: after a takeover unseen tasks are free once a lease has passed and every machine has reported under the token. A new machine has not, for its first report; while one came every second there always was one such, and the unseen tasks of the whole part waited.

Change: a machine first heard of after the barrier's time does not count. Nobody answered it since the earlier authority ended, a lease before, so whatever ran there has ended, and direct commands to that session too.

--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -628,7 +628,9 @@
         if (
             self._unseen
             and now > self._barrier_at
-            and all(m.trusted for m in self.machines.values())
+            # What ran on a machine first heard of after that had ended by then: nobody had
+            # answered it. (New machines, one after the other, held the barrier each in turn.)
+            and all(m.trusted or m.since > self._barrier_at for m in self.machines.values())
         ):
             for key in list(self._unseen):
                 self._unseen.discard(key)
