Fleet: older lists drop nothing, a machine that shows itself is counted once

Found by reading, for the meeting of quick boots, lagging writes and a leader that ends. Causes and changes: - A machine that was on one list and not on the next left the fleet at once, though a list may be older than the one before: it was rented again, and counted as taken if it was a spot machine. It leaves after twice the list's lag without being listed. - A machine listed as starting for long was returned by a new leader before its owner had shown anything; as the list lags it may be up and run tasks.

--- a/ryegauge/coordination/fleet.py
+++ b/ryegauge/coordination/fleet.py
@@ -2,12 +2,14 @@
 returned. No I/O and no clock; the loops in `cloud` make the calls.
 """
 
+import math
 from collections.abc import Callable, Container, Mapping
+from dataclasses import dataclass
 
 from ryegauge.config import Settings
 from ryegauge.coordination.parting import Parting
 from ryegauge.coordination.views import PartState
-from ryegauge.detection.verdicts import WELL, Cause, Grade, Verdict
+from ryegauge.detection.verdicts import HOPE_LEASES, WELL, Cause, Grade, Verdict
 from ryegauge.protocol.cloud import ListedMachine, MachineType
 from ryegauge.protocol.peers import MachineView
 from ryegauge.scheduling.boots import Boots, Expected, Kind, Pending
@@ -22,7 +24,8 @@
     """A machine as the cloud knows it."""
 
     __slots__ = ("address", "asked_at", "failed", "heard_at", "idle_since", "listed", "name",
-                 "noticed", "part", "reported", "running_since", "since", "spot", "type", "zone")
+                 "noticed", "part", "reported", "running_since", "seen_at", "since", "spot", "type",
+                 "zone")
 
     def __init__(
         self, name: str, part: int, type_: str, zone: str, spot: bool, since: float
@@ -36,6 +39,7 @@
         self.asked_at: float | None = None  # the same, if we asked ourselves
         self.address = ""
         self.listed = False
+        self.seen_at = -math.inf  # on the latest list that shows it
         self.failed = False
         self.reported = False  # some part's owner has heard from it
         self.heard_at: float | None = None  # when its owner last did, as far as was shown
@@ -44,6 +48,20 @@
         self.running_since: float | None = None  # listed as running
 
 
+@dataclass(slots=True)
+class Asked:
+    """A rental request under way or of unknown outcome."""
+
+    rental: Rental
+    since: float
+    until: float  # counted on as long as that
+    left: int  # of its machines, those that have not shown themselves
+
+    @property
+    def kind(self) -> Kind:
+        return self.rental.type, self.rental.zone, self.rental.spot
+
+
 class Fleet:
     def __init__(self, settings: Settings, now: float) -> None:
         self._settings = settings
@@ -52,8 +70,7 @@
         self.types: dict[str, MachineType] = {}  # with current prices
         self.machines: dict[str, Rented] = {}
         self.listed_once = False
-        # Rental requests under way or of unknown outcome: rental -> until when to count.
-        self._expected: list[tuple[Rental, float, float]] = []
+        self._asked: list[Asked] = []
         self._refused: dict[tuple[str, str, bool], tuple[float, float]] = {}
         self.gone: dict[str, float] = {}  # surely released, and when
         self.retire: set[str] = set()  # to be returned once their owner says they are empty
@@ -85,13 +102,18 @@
                 # Its age is as of the time that the list describes.
                 age_s = entry.age_s + self._settings.settings.cloud.list_lag_s
                 rented = self.add(entry.name, entry.type, entry.zone, entry.spot, now - age_s)
-            rented.listed = True
+                self._appeared(rented)
+            rented.listed, rented.seen_at = True, now
             rented.address = entry.addr or rented.address
             rented.failed = entry.state == "failed"
             if entry.state == "running" and rented.running_since is None:
                 rented.running_since = now
         for rented in list(self.machines.values()):
-            missing = rented.listed and rented.name not in seen
+            # (Dropped at once by an older list, what had just been listed was rented again, and
+            # each spot machine counted as taken.)
+            missing = rented.listed and rented.name not in seen and (
+                now - rented.seen_at > 2 * self._settings.settings.cloud.list_lag_s
+            )
             if missing and not heard(rented.part, rented.name, now):
                 self._lost(rented, now, taken=rented.spot)
 
@@ -103,6 +125,8 @@
                 return
             # A surprise: rented by an earlier leader, or executed late.
             rented = self.add(machine.name, machine.type, machine.zone, machine.spot, now)
+            if machine.empty:
+                self._appeared(rented)
         rented.heard_at = now - machine.silent_s
         if not rented.reported:
             rented.reported = True
@@ -114,6 +138,17 @@
         else:
             rented.idle_since = None
 
+    def _appeared(self, rented: Rented) -> None:
+        """A machine that no answer has named. It may be one that was asked for; that one is not
+        waited for besides. (Of a request without an answer all were, as well as those that had
+        shown themselves: work waited for them instead of having others rented.)"""
+        lag_s = self._settings.settings.cloud.list_lag_s
+        for asked in self._asked:
+            kind = (rented.type, rented.zone, rented.spot)
+            if asked.left and asked.kind == kind and rented.since >= asked.since - lag_s:
+                asked.left -= 1
+                return
+
     def _came_up(self, rented: Rented, at: float, now: float) -> None:
         type_ = self.types.get(rented.type)
         if rented.asked_at is not None and type_ is not None:
@@ -131,7 +166,8 @@
 
     def renting(self, rental: Rental, now: float) -> None:
         """A request is being sent; until it is answered its machines are counted on."""
-        self._expected.append((rental, now, now + 2 * self._settings.settings.cloud.list_lag_s + 5))
+        until = now + 2 * self._settings.settings.cloud.list_lag_s + 5
+        self._asked.append(Asked(rental, now, until, rental.count))
 
     def rented(self, rental: Rental, names: list[str], now: float) -> None:
         self._settle(rental)
@@ -155,7 +191,7 @@
         self._settle(rental)
 
     def _settle(self, rental: Rental) -> None:
-        self._expected = [e for e in self._expected if e[0] is not rental]
+        self._asked = [asked for asked in self._asked if asked.rental is not rental]
 
     def released(self, names: list[str], now: float) -> None:
         for name in names:
@@ -197,14 +233,14 @@
             room = whole_room(type_, r.name, r.zone, r.spot)
             room.ready_s = expected.left_s
             rooms.append(room)
-        self._expected = [e for e in self._expected if e[2] > now]
-        for rental, since, _ in self._expected:
-            type_ = self.types.get(rental.type)
+        self._asked = [asked for asked in self._asked if asked.until > now]
+        for asked in self._asked:
+            type_ = self.types.get(asked.rental.type)
             if type_ is not None:
-                for i in range(rental.count):
-                    room = whole_room(type_, f"?{since}-{i}", rental.zone, rental.spot)
-                    kind = (rental.type, rental.zone, rental.spot)
-                    room.ready_s = self.boots.boot_s(kind, type_.boot_s, now)
+                for i in range(asked.left):
+                    _, zone, spot = asked.kind
+                    room = whole_room(type_, f"?{asked.since}-{i}", zone, spot)
+                    room.ready_s = self.boots.boot_s(asked.kind, type_.boot_s, now)
                     rooms.append(room)
         return rooms
 
@@ -238,13 +274,16 @@
                 # is returned. (While there is more to be had it is kept: a hung or cut off
                 # machine is back sooner than a new one would be up.)
                 releases.append(r.name)
+            elif grade is Grade.OVER and self._is_given_up(r, verdict, now):
+                releases.append(r.name)
             elif not r.reported:
                 # Never boots: it is charged until deleted. One that is listed as running
                 # may only be unheard: by a new leader, or since its owner and we cannot
-                # reach each other. Returning it would lose what runs on it.
-                unheard = r.running_since is not None and (
-                    r.part not in views
-                    or now - max(r.running_since, self._since)
+                # reach each other. Returning it would lose what runs on it. So may one that
+                # is listed as starting, as the list lags: its owner has to be heard first.
+                unheard = r.part not in views or (
+                    r.running_since is not None
+                    and now - max(r.running_since, self._since)
                     < 2 * self._settings.settings.workers.lease_s
                 )
                 expected = self._expecting.get(r.name)
@@ -273,3 +312,12 @@
                 # come back, and its lease ends soon: only where its room is wanted.
                 releases.append(r.name)
         return releases[:100]
+
+    def _is_given_up(self, rented: Rented, verdict: Verdict, now: float) -> bool:
+        """Whether a machine that may come back has been hoped for long enough: alone in its
+        silence, it is charged and of no use. (A machine that reached no controller and answered
+        when it was asked was kept for as long as that lasted.)"""
+        hope_s = HOPE_LEASES * self._settings.sure_lease_s
+        return (
+            verdict.isolated and rented.heard_at is not None and now - rented.heard_at > hope_s
+        )
