--- a/ryegauge/coordination/silences.py
+++ b/ryegauge/coordination/silences.py
@@ -7,6 +7,7 @@
 from ryegauge.coordination.fleet import Fleet, Rented
 from ryegauge.coordination.views import PartState
 from ryegauge.detection.verdicts import (
+    LOST_GAPS,
     SUSPECT_GAPS,
     Evidence,
     Grade,
@@ -28,6 +29,7 @@
         self._limits = Limits(settings.report_gap_s, settings.sure_lease_s)
         self._unheard: dict[int, list[tuple[str, str]]] = {}
         self.cut: set[str] = set()  # zones that nothing is heard of
+        self._probes: dict[str, list[Probe]] = {}  # the last that were told of a silent machine
         self._overheard: dict[str, float] = {}  # machine -> when another than its owner heard it
 
     def take_in(self, view: PartView, now: float) -> None:
@@ -77,6 +79,7 @@
             ][:MOST_UNHEARD]
             for part, some in silent.items()
         }
+        self._probes = {n: probes for n, probes in self._probes.items() if n in result}
         return result
 
     def unheard(self, part: int) -> list[tuple[str, str]]:
@@ -91,6 +94,13 @@
             probe for by, outcome, ago_s in told
             if (probe := Probe.of(by, outcome, state.at - ago_s)) is not None
         ]
+        if not probes:
+            # Its owner has just given it up, and asks it anew for us. (Until it had, one that
+            # answered or hung was taken for lost and returned, where there were no more.)
+            keep_s = LOST_GAPS * self._limits.gap_s
+            probes = [p for p in self._probes.get(rented.name, ()) if now - p.at < keep_s]
+        if probes:
+            self._probes[rented.name] = probes
         elsewhere_s = now - self._overheard.get(rented.name, -math.inf)
         return judge(
             Evidence(
--- /dev/null
+++ b/tests/test_mute.py
@@ -0,0 +1,181 @@
+"""Machines that reach no controller while direct commands reach them, and machines that hang and
+go on: no lease is renewed there, nothing starts there, and what was cancelled ends in time."""
+
+from pathlib import Path
+
+import msgspec
+import pytest
+import trio
+from conftest import job_body
+from days import Day, play
+from test_leader import Lead, listed
+from test_part import TOKEN, UID, Part
+from test_world import some_controllers
+
+from ryegauge.bookkeeping.jobbook import job_key, job_record
+from ryegauge.config import Settings
+from ryegauge.emulator.workers import Worker
+from ryegauge.protocol.jobs import parse_job
+from ryegauge.protocol.workers import Kill, Run
+from ryegauge.scheduling.planner import Rental
+
+LONG = {"pieces": 8, "delay": 1.0, "really": 35.0, "expectS": 35.0, "cpus": 1.0}
+SHORT = [{"pieces": 4, "delay": 31.0 + 4 * n, "really": 3.0, "cpus": 1.0, "crew": "blue"}
+         for n in range(14)]
+ALL_ROOM = {"pieces": 24, "delay": 52.0, "really": 6.0, "cpus": 2.0, "crew": "blue"}
+
+
+def test_a_direct_start_at_a_machine_that_falls_mute_counts_until_its_lease_is_over(
+    settings: Settings,
+) -> None:
+    """Its answer, and answers to all that follows, renew nothing; it takes no more tasks."""
+    part = Part(settings, [])
+    part.report()
+    part.allot([0])
+    part.tick(1.0)
+    ((name, _, session, commands),) = part.owner.to_push(part.now, 10)
+    (run,) = commands
+    assert isinstance(run, Run)
+    part.owner.pushed(name, session, commands)
+    for n in range(4):
+        part.report((0, run.attempt, "running"), checkin=False)
+        part.allot([0, *range(1, n)])
+        part.tick(2.0)
+        assert part.owner.to_push(part.now, 10) == []
+    part.report(machine="m-2", seq=part.seq + 1)
+    part.tick(0.5)
+    assert part.owner.tasks[UID, 0].machine == "m-1"
+    part.tick(1.0)
+    assert part.owner.tasks[UID, 0].machine != "m-1"
+
+
+@pytest.mark.parametrize("who", ["nobody", "leader", "owner"])
+def test_a_day_with_mute_machines(tmp_path: Path, who: str) -> None:
+    """For longer than a lease, twice, the second time with hangs and cancellations; whoever
+    leads or owns them may end in the midst. Those that come back are used again."""
+    mute: list[tuple[float, float, set[str]]] = []
+
+    async def script(world: Day) -> None:
+        await trio.sleep(33.0)
+        for n in range(2):
+            some = set(sorted(w.name for w in world.workers.values() if w.alive and w.up)[::2])
+            began = trio.current_time()
+            with world.mute(some):
+                await trio.sleep(2.0)
+                if n:
+                    await world.cancel_now(6, hang_s=8.0)
+                leader = world.leading
+                if who != "nobody" and leader is not None:
+                    world.crash((leader + (who == "owner")) % 3)
+                await trio.sleep(18.0)
+            mute.append((began, trio.current_time(), some))
+            await trio.sleep(20.0)
+
+    world = play(some_controllers(tmp_path, 3), 4, [LONG, LONG, ALL_ROOM, *SHORT], script, 150.0)
+    assert world.checker.broken == []
+    assert world.unfinished == set()
+    starts = [(e.at, e.machine) for e in world.happened if e.what == "started"]
+    for began, over, some in mute:
+        # What had just been heard of may be given a task: it fetches for a second.
+        late = [at for at, name in starts if name in some and began + 5.5 < at < over]
+        assert late == []
+    _, over, some = mute[0]
+    assert any(name in some and at > over for at, name in starts)
+
+
+def test_a_machine_alone_in_its_silence_is_given_up_in_the_end(settings: Settings) -> None:
+    """It answers when it is asked and reports to nobody: it was charged and of no use for as
+    long as that lasted. Many at once are waited for, they come back together."""
+    lead = Lead(settings)
+    names = [f"m-{i}" for i in range(60) if lead.part_of(f"m-{i}") == 0][:12]
+    for name in names:
+        lead.machine(name, empty=False)
+        lead.asked[name] = "answered"
+    lead.round()
+
+    def silent(count: int, seconds: float) -> list[str]:
+        lead.now += seconds
+        for name in names[:count]:
+            silent_s = lead.machines[name].silent_s + seconds
+            lead.machine(name, empty=False, open=False, silent_s=silent_s)
+        lead.round()
+        return lead.last.releases
+
+    assert silent(1, 11.0) == []
+    assert silent(1, 19.0) == []
+    assert silent(1, 1.0) == [names[0]]
+    assert silent(6, 40.0) == []
+
+
+def test_a_machine_that_answered_is_not_returned_when_its_owner_gives_it_up(
+    settings: Settings,
+) -> None:
+    """Found by a day with mute machines: what had become of asking it was forgotten at the end
+    of its lease, until it was asked again; where no more were to be had it was returned."""
+    lead = Lead(settings)
+    lead.leader.on_list([listed("m-1")], lead.now)
+    for silent_s in (0.0, 9.5):
+        lead.machine("m-1", empty=False, silent_s=silent_s)
+        lead.round()
+        lead.asked["m-1"] = "answered"
+        lead.now += 1.5 if silent_s else 11.0
+    lead.leader.fleet.refused(Rental("small", "a", True, 1), lead.now)
+    del lead.machines["m-1"]
+    lead.round()
+    assert lead.last.releases == []
+    lead.now += 3.0  # asked again, and no answer
+    lead.round()
+    assert lead.last.releases == ["m-1"]
+
+
+def test_an_answer_that_renews_a_lease_ends_what_was_cancelled(settings: Settings) -> None:
+    """Also to a report of which nothing else is taken in: one from before the machine saw the
+    token, and one behind the answer to a direct command."""
+    part = Part(settings, [0, 1])
+    part.put(job_key("wk-000002"), job_record(parse_job(job_body("wk-000002")), 0.0, False))
+    assert part.report((0, 7, "running"), token=TOKEN - 1) == []
+    part.cancel()
+    kill = Kill((UID, 0), 7, 0.0)
+    assert part.report((0, 7, "running"), (1, 8, "ended"), token=TOKEN - 1) == [kill]
+    assert part.phase(0) == "unseen"  # nothing is concluded
+    assert part.report((0, 7, "running")) == [kill]
+    part.report((0, 7, "running"), seq=part.seq + 2, checkin=False)
+    assert part.report((0, 7, "running"), seq=part.seq + 1) == [kill]
+
+
+def test_a_machine_that_hangs_after_each_answer_keeps_nothing_cancelled(tmp_path: Path) -> None:
+    """Three times in a row, for almost a lease, while its part changes hands in between."""
+    controllers = []
+    for settings in some_controllers(tmp_path, 5):
+        workers = msgspec.structs.replace(
+            settings.settings.workers, report_s=2.5, lease_s=14.0, cancel_s=39.0)
+        controllers.append(msgspec.structs.replace(
+            settings, settings=msgspec.structs.replace(settings.settings, workers=workers)))
+    renewed: list[float] = []
+
+    async def hang_when_answered(world: Day, worker: Worker) -> None:
+        before = worker.lease_from
+        while worker.lease_from == before:
+            await trio.sleep(0.005)
+        worker.hung_until = worker.lease_from + 13.4
+        renewed.append(trio.current_time())
+
+    async def script(world: Day) -> None:
+        await trio.sleep(40.0)
+        worker = next(w for w in world.workers.values() if w.alive and w.on_machine())
+        uid = worker.on_machine()[0].rpartition("/")[0]
+        await hang_when_answered(world, worker)
+        world.checker.asked_to_cancel.add(uid)
+        status = 0
+        while status != 200:
+            status, answer = await world.ask("POST", f"/v1/jobs/{uid}/cancel")
+            world.checker.answered(uid, status, answer, "cancel")
+        for _ in range(2):
+            # Whoever owns its part ends.
+            world.crash(*range(5))
+            await hang_when_answered(world, worker)
+        await trio.sleep(20.0)
+
+    world = play(controllers, 6, [{**LONG, "really": 120.0, "expectS": 120.0}], script, 110.0)
+    assert world.checker.broken == []
+    assert len(renewed) == 3
