Syncer: a full read is whole, and the witness of losses sees the changes after it as before

The changes are fetched before the book takes anything in; pages and changes are then taken in one after the other without a pause, through the witness as ever, and the read of changes after a full read is back.

--- a/ryegauge/bookkeeping/syncer.py
+++ b/ryegauge/bookkeeping/syncer.py
@@ -98,8 +98,9 @@
                         except BaseException:
                             self._full = True
                             raise
-                    else:
-                        await self._read_changes()
+                    # After a full read as well: what was confirmed to us while its answers were
+                    # under way must be in a read that began after it.
+                    await self._read_changes()
                 self.began_at = began
                 self.failures = 0
             except Gone:
@@ -134,9 +135,9 @@
     async def _read_all(self) -> None:
         """Pages are of different revisions, and what follows from several records would follow
         from a mixture: a job whose last tasks ended after its cancellation would be done until
-        the changes since the first page were read. So these are read before the book takes
-        anything in."""
-        items: dict[str, Event] = {}
+        the changes since the first page were read. So these are there before the book takes
+        anything in, and nobody is told anything in between."""
+        items: list[Event] = []
         after: str | None = None
         first: int | None = None
         if self.witness is not None:
@@ -144,22 +145,18 @@
         while True:
             page, more, ledger = await self._state.page(PREFIX, after, timeout_s=self._timeout_s)
             first = ledger if first is None else first
-            items.update((item.key, item) for item in page)
+            items.extend(page)
             if not more:
                 break
             after = page[-1].key
         events, ledger = await self._state.changes(
             PREFIX, first, timeout_s=self._timeout_s, urgent=False
         )
-        if ledger < first:
-            raise Unavailable("the state service went back while it was read")
-        for event in events:
-            if event.value is None:
-                items.pop(event.key, None)
-            else:
-                items[event.key] = event
-        whole = [items[key] for key in sorted(items)]
         if self.witness is not None:
-            self.witness.reread(whole, ledger)
-        self._book.replace(whole, ledger)
-        log.info("read the book: %d records, %d jobs under way", len(whole), len(self._book.live))
+            self.witness.reread(items, first)
+        self._book.replace(items, first)
+        if self.witness is not None:
+            self.witness.begin()
+            events = self.witness.read(events, ledger)
+        self._book.apply(events, ledger)
+        log.info("read the book: %d records, %d jobs under way", len(items), len(self._book.live))
