--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -64,6 +64,7 @@
         """`authority_ended_at`: by then all authority of before this era has ended."""
         self.part = part
         self.token = token
+        self._since = now
         self._book = book
         self._settings = settings
         self._types = types
@@ -527,6 +528,11 @@
         gap_s = self._settings.report_gap_s
         if not self._elsewhere or self._hearing.attention.stood_still_s(now - 3 * gap_s):
             return False
+        if now < self._since + gap_s:
+            # Those that others heard are just being sent on to us, or reported before we began.
+            # (Half a second old, owners gave up parts that they could hear very well, and all
+            # that was unseen there waited for one more barrier.)
+            return False
         heard_at = {m.name: m.heard_at for m in self.machines.values()}
         return is_deaf(heard_at, self._elsewhere, gap_s, now)
 
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -10,7 +10,7 @@
 import trio
 from conftest import job_body
 from days import Day, play
-from test_part import TOKEN, TYPES, UID, Part
+from test_part import TOKEN, TYPES, UID, Part, part
 from test_world import some_controllers
 
 from ryegauge.bookkeeping.jobbook import job_key, job_record, share_key
@@ -19,6 +19,8 @@
 from ryegauge.protocol.jobs import parse_job
 from ryegauge.protocol.workers import Command, Kill, Report, Run, TaskReport
 
+__all__ = ["part"]  # a fixture
+
 BEFORE = ((TOKEN - 9) << 20) + 1  # an attempt of the authority before
 EARLIER = TOKEN - 9
 
@@ -112,6 +114,7 @@
     assert part.report((0, run.attempt, "ended"), (3, service, "running"), why="stopped") == []
 
 
+
 def test_a_cancelled_start_without_an_answer_is_never_begun(settings: Settings) -> None:
     """Not even to be ended at once: its machine is returned, and a service there moves."""
     part = Part(settings, [])
@@ -145,6 +148,21 @@
     assert part.owner.view("n", 1, part.now).machines[0].empty
 
 
+def test_an_owner_is_not_deaf_before_workers_can_have_come(part: Part) -> None:
+    """Found by days at the limit: no machine had reported here within half a second of the claim,
+    while three had just been sent on by others; the part was given up at once."""
+    for age_s, deaf in ((0.5, False), (1.2, False), (1.4, True)):
+        now = part.now + age_s
+        for name in ("m-1", "m-2", "m-3"):
+            part.owner.heard_elsewhere(name, now - 0.3)
+        part.owner.tick(now, now)
+        assert part.owner.deaf(now) == deaf
+    part.now += 2.0
+    for name in ("m-1", "m-2", "m-3"):
+        part.report(machine=name)
+    assert not part.owner.deaf(part.now)
+
+
 # -- cancellations --------------------------------------------------------------------------
 
 ONE: list[dict[str, Any]] = [
--- /dev/null
+++ b/tests/test_limits_at_change.py
@@ -0,0 +1,156 @@
+"""Teams at their limits while jobs are cancelled and leaders change: a task's room counts until it
+is surely gone, and is had again soon after."""
+
+from collections import Counter
+from collections.abc import Callable
+from contextlib import AbstractContextManager, nullcontext
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+import trio
+from days import Day, play
+from test_handover import confirm, hosts
+from test_late_writes import KINDS
+from test_world import some_controllers
+
+from ryegauge.emulator.fleet import SMALL_FLEET
+
+# Red may use 32 CPUs and blue 48. Of each team's first jobs every second is cancelled; as many
+# wait for the room.
+CREWS = [crew for crew, cpus in (("red", 32), ("blue", 48)) for _ in range(cpus // 8)]
+JOBS: list[dict[str, Any]] = [
+    {"pieces": 8, "cpus": 1.0, "memoryGb": 1.0, "crew": crew, "really": really, "expectS": really,
+     "delay": delay}
+    for really, delay in ((400.0, 0.0), (6.0, 40.0)) for crew in CREWS
+]
+# All of it at the low price, so that nobody waits for a cheaper machine: 84 CPUs.
+FLEET = tuple(
+    msgspec.structs.replace(type_, steady=0, spot=spot)
+    for type_, spot in zip(SMALL_FLEET, (9, 3), strict=True)
+)
+UIDS = [f"wk-{n + 1:06d}" for n in range(len(CREWS))]
+CANCELLED, KEPT = UIDS[::2], set(UIDS[1::2])
+
+
+def used(world: Day) -> dict[str, int]:
+    tasks = {t for w in world.workers.values() if w.alive for t in w.on_machine()}
+    return dict(Counter(world.checker.specs[t.rpartition("/")[0]]["crew"] for t in tasks))
+
+
+async def until_full(world: Day) -> None:
+    with trio.fail_after(70.0):
+        while used(world) != {"red": 32, "blue": 48}:
+            await trio.sleep(1.0)
+    await trio.sleep(5.0)
+
+
+def crash_leader(world: Day) -> None:
+    if (leader := world.leading) is not None:
+        world.crash(leader)
+
+
+def check(world: Day) -> None:
+    """Its last half minute was without trouble: nobody waits for longer beside room that fits."""
+    assert world.checker.broken == []
+    assert set(world.checker.cancelled_at) == set(CANCELLED)
+    assert world.unfinished == KEPT
+
+
+def some(world: Day) -> set[str]:
+    """Every third machine that runs tasks."""
+    return {w.name for w in list(world.workers.values())[::3] if w.alive and w.up}
+
+
+def hung(world: Day) -> AbstractContextManager[None]:
+    for name in some(world):
+        world.workers[name].hung_until = trio.current_time() + 9.0
+    return nullcontext()
+
+
+def late_allotments(world: Day) -> AbstractContextManager[None]:
+    world.network.late_kind = KINDS["allotment"]
+    return world.late_writes(0.5)
+
+
+TROUBLES: dict[str, Callable[[Day], AbstractContextManager[None]]] = {
+    "held up": lambda world: world.cut(some(world), hosts(world), hold=True),
+    "cut off": lambda world: world.cut(some(world), hosts(world), hold=False),
+    "hung": hung,
+    "deaf": lambda world: world.deaf(some(world)),
+    "mute": lambda world: world.mute(some(world)),
+    "late allotments": late_allotments,
+    "lost answers": lambda world: world.late_writes(0.4, at_once=True),
+}
+
+
+@pytest.mark.parametrize("how", TROUBLES)
+def test_cancelled_at_the_limit_as_the_leader_ends(tmp_path: Path, how: str) -> None:
+    """Half of the cancellations just before the leader ends, the others while its machines can't
+    be asked and another one begins."""
+    async def script(world: Day) -> None:
+        await until_full(world)
+        with TROUBLES[how](world):
+            for uid in CANCELLED[::2]:
+                world.nursery.start_soon(confirm, world, uid, 1)
+            await trio.sleep(0.4)
+            crash_leader(world)
+            for uid in CANCELLED[1::2]:
+                await trio.sleep(2.5)
+                world.nursery.start_soon(confirm, world, uid, 2)
+            await trio.sleep(4.0)
+
+    check(play(some_controllers(tmp_path, 3), 31, JOBS, script, 72.0, FLEET))
+
+
+@pytest.mark.parametrize("how", ["held up", "late allotments"])
+def test_cancelled_at_the_limit_as_ten_leaders_end(tmp_path: Path, how: str) -> None:
+    """In two minutes, with the trouble now and then."""
+    async def script(world: Day) -> None:
+        await until_full(world)
+        for n in range(10):
+            with TROUBLES[how](world):
+                if n % 2:
+                    world.nursery.start_soon(confirm, world, CANCELLED[n // 2], n)
+                await trio.sleep(0.5 + 0.6 * n)
+                crash_leader(world)
+                await trio.sleep(3.0)
+            await trio.sleep(5.5 - 0.4 * n)
+
+    world = play(some_controllers(tmp_path, 3), 32, JOBS, script, 135.0, FLEET)
+    check(world)
+    leaders = [value["o"] for key, value in world.written if key == "r/l"]
+    assert len(leaders) >= 8
+
+
+@pytest.mark.parametrize("seed", range(2))
+def test_cancelled_as_the_leader_is_refused_alone_and_then_everybody(
+    tmp_path: Path, seed: int
+) -> None:
+    """One by one for a second; the outage begins with the last, which no other one has read, and
+    lasts for longer than `cancel_s`."""
+    async def script(world: Day) -> None:
+        await until_full(world)
+        leader = world.leading
+        assert leader is not None
+        last = f"r/j/{CANCELLED[-1]}"
+        began = trio.Event()
+
+        def written(key: str, value: Any) -> None:
+            if key == last and value.get("x"):
+                world.state.outage = True
+                began.set()
+
+        world.state.on_write.append(written)
+        with world.refused_by_state(leader):
+            for n, uid in enumerate(CANCELLED):
+                world.nursery.start_soon(confirm, world, uid, leader + 1 + (n + seed) % 2)
+                await trio.sleep(1.0 / len(CANCELLED))
+            await began.wait()
+            await trio.sleep(46.0)
+            assert used(world) == {"red": 16, "blue": 24}
+            world.state.end_outage()
+            await trio.sleep(1.0)
+
+    check(play(some_controllers(tmp_path, 3), 33 + seed, JOBS, script, 115.0, FLEET))
