--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -1,6 +1,7 @@
 """What changes hands: a part or the leadership, while jobs are cancelled, while reports come late,
 and while tasks go on that end far apart."""
 
+from collections import Counter
 from collections.abc import Callable
 from contextlib import AbstractContextManager, nullcontext
 from pathlib import Path
@@ -16,6 +17,7 @@
 from ryegauge.bookkeeping.jobbook import job_key, job_record, share_key
 from ryegauge.config import Settings
 from ryegauge.coordination.part import PartOwner
+from ryegauge.coordination.parting import Parting
 from ryegauge.protocol.jobs import parse_job
 from ryegauge.protocol.workers import Command, Kill, Report, Run, TaskReport
 
@@ -198,6 +200,16 @@
     return world.cut({world.host_of(n)}, set(world.workers), hold=False)
 
 
+def busiest(world: Day) -> int:
+    """The controller that owns the part with most tasks on its machines."""
+    parting = Parting(world.settings[0])
+    tasks: Counter[int] = Counter()
+    for worker in world.workers.values():
+        tasks[parting.part_of(worker.name, worker.zone)] += len(worker.on_machine())
+    part, _ = tasks.most_common(1)[0]
+    return world.names.index(world.state.data[f"r/p/{part}"][0]["o"])
+
+
 # What becomes of an owner, how soon it is started again, and how often.
 CHANGES: dict[str, tuple[Callable[[Day, int], AbstractContextManager[None]] | None, float, int]] = {
     "ends and comes home": (None, 4.0, 1),
@@ -221,7 +233,7 @@
         before = len(world.written)
         world.nursery.start_soon(cancel_all_along, world, sorted(world.checker.accepted), 20.0)
         await trio.sleep(3.0)
-        owner = world.names.index(world.state.data["r/p/1"][0]["o"])
+        owner = busiest(world)
         for n in range(times) if trouble is None else ():
             world.crash((owner + n) % 3)
             await trio.sleep(4.0)
