--- a/ryegauge/bookkeeping/syncer.py
+++ b/ryegauge/bookkeeping/syncer.py
@@ -13,6 +13,10 @@
 
 
 class Witness(Protocol):
+    @property
+    def unread(self) -> bool:
+        """Whether something was confirmed or refused that no read has shown yet."""
+
     def begin(self) -> int:
         """A read begins: the revision after which to read changes."""
 
@@ -91,16 +95,16 @@
             began = trio.current_time()
             try:
                 with trio.fail_after(self._timeout_s * (8 if self._full else 1)):
+                    more = True
                     if self._full:
                         self._full = False
                         try:
-                            await self._read_all()
+                            more = await self._read_all()
                         except BaseException:
                             self._full = True
                             raise
-                    # After a full read as well: what was confirmed to us while its answers were
-                    # under way must be in a read that began after it.
-                    await self._read_changes()
+                    if more:
+                        await self._read_changes()
                 self.began_at = began
                 self.failures = 0
             except Gone:
@@ -132,8 +136,11 @@
             events = self.witness.read(events, ledger)
         self._book.apply(events, ledger)
 
-    async def _read_all(self) -> None:
-        """Pages are of different revisions, and what follows from several records would follow
+    async def _read_all(self) -> bool:
+        """Whether a read of changes has to follow: what was confirmed to us while the answers were
+        under way must be in one that began after it.
+
+        Pages are of different revisions, and what follows from several records would follow
         from a mixture: a job whose last tasks ended after its cancellation would be done until
         the changes since the first page were read. So these are there before the book takes
         anything in, and nobody is told anything in between."""
@@ -152,6 +159,7 @@
         events, ledger = await self._state.changes(
             PREFIX, first, timeout_s=self._timeout_s, urgent=False
         )
+        more = self.witness is not None and self.witness.unread
         if self.witness is not None:
             self.witness.reread(items, first)
         self._book.replace(items, first)
@@ -160,3 +168,4 @@
             events = self.witness.read(events, ledger)
         self._book.apply(events, ledger)
         log.info("read the book: %d records, %d jobs under way", len(items), len(self._book.live))
+        return more
--- a/ryegauge/rebuilding/noticing.py
+++ b/ryegauge/rebuilding/noticing.py
@@ -98,6 +98,10 @@
 
     # -- reads ---------------------------------------------------------------------------
 
+    @property
+    def unread(self) -> bool:
+        return bool(self._confirmed or self._checking or self._conflicts)
+
     def begin(self) -> int:
         self._floor = max([self._book.ledger, *self._confirmed])
         self._checking, self._conflicts = {**self._checking, **self._conflicts}, {}
