Groups of submissions leave others a turn

Cause: taken one by one as each change came, submissions in a flood left none for outcomes, which leave more in reserve: of 200 tiny jobs half were told done later than 10.95 s after they had ended, where test_tiny_jobs_are_done_soon_after_they_ran allows 7.

--- a/ryegauge/coordination/frontdoor.py
+++ b/ryegauge/coordination/frontdoor.py
@@ -10,7 +10,7 @@
 import msgspec
 import trio
 
-from ryegauge.bookkeeping.budget import SOON
+from ryegauge.bookkeeping.budget import SOON, USUAL
 from ryegauge.bookkeeping.eras import PUTTING_BACK
 from ryegauge.bookkeeping.finals import Finals
 from ryegauge.bookkeeping.jobbook import (
@@ -275,7 +275,13 @@
                 self._queued = trio.Event()
                 continue
             # What there is now: a full group needs a full bucket, which others drain meanwhile.
-            now = max(1, int(self._state.writes.available(SOON)))
+            # Not less than lets others have a turn, who leave more: taken one by one, as each
+            # came, changes were left for no outcome in a flood of tiny jobs.
+            writes = self._state.writes
+            least = min(len(self._queue), 1 + int(USUAL * writes.burst))
+            if (lacking := least - writes.available(SOON)) > 0:
+                await trio.sleep(lacking / writes.rate)
+            now = max(1, int(writes.available(SOON)))
             batch, self._queue = self._take(min(limit, now))
             try:
                 await self._write(batch)
--- a/tests/test_answer_model.py
+++ b/tests/test_answer_model.py
@@ -57,7 +57,7 @@
 class Outside:
     """State service, reads and outcomes, as a front door calls them."""
 
-    writes = SimpleNamespace(rate=10.0, available=lambda reserve: 10.0)
+    writes = SimpleNamespace(rate=10.0, burst=10.0, available=lambda reserve: 10.0)
 
     async def commit(self, guards: Any, changes: Any, **_: Any) -> Any:
         return await Request("commit", guards, changes)
