--- a/ryegauge/coordination/held.py
+++ b/ryegauge/coordination/held.py
@@ -38,7 +38,7 @@
     __slots__ = (
         "address", "alive", "checked_in", "deaf_until", "direct", "given_up", "heard_at",
         "heard_from", "idle_since", "images", "name", "notice_at", "probes", "retiring", "since",
-        "spot", "stamp", "tasks", "trusted", "type", "zone",
+        "spot", "stamp", "stuck_at", "tasks", "trusted", "type", "zone",
     )
 
     def __init__(self, report: Report, now: float) -> None:
@@ -59,6 +59,8 @@
         self.probes: list[Probe] = []  # since it was heard
         self.notice_at: float | None = None  # when the cloud takes it away
         self.retiring = False
+        # Since when a start of a cancelled job may be on its way here that got no answer.
+        self.stuck_at = math.inf
         self.given_up = False  # never showed that it hears us
         self.idle_since = now
         self.images: dict[str, float] = {}  # presumed cached, most recently used last
--- a/ryegauge/coordination/part.py
+++ b/ryegauge/coordination/part.py
@@ -346,6 +346,7 @@
         worker has one report in flight, so this one is newer than whatever became of
         the answer with the `run`. That says nothing of a direct command without an
         answer, nor does the answer to a direct command say it of check-ins."""
+        stuck = False
         for key in list(machine.tasks):
             task = self.tasks[key]
             if (key, task.attempt) in reported:
@@ -357,6 +358,9 @@
             elif task.withdrawn and checkin:
                 # Nothing else than its return makes sure that it does not start.
                 machine.retiring = True
+                stuck = stuck or self._book.is_cancelled(key[0])
+        if checkin:
+            machine.stuck_at = min(machine.stuck_at, machine.heard_at) if stuck else math.inf
 
     def _reported(
         self, machine: Machine, key: TaskKey, attempt: int, entry: TaskReport, now: float,
@@ -421,9 +425,11 @@
             # The cloud takes the machine before the task would end: it starts anew
             # elsewhere at once instead of after the loss.
             task.moving = True
-        if machine.retiring and job is not None and job.spec.kind == "standing":
-            # The machine is to be returned, and a service never ends: what a start of a cancelled
-            # job that got no answer holds would count against its team for good.
+        serves = job is not None and job.spec.kind == "standing"
+        if (machine.retiring and serves) or now - machine.stuck_at > self.lease_s / 2:
+            # The machine is to be returned, and a service never ends. Nor is anything else waited
+            # for while a start of a cancelled job may still be on its way: begun after `cancel_s`
+            # it would break the rule, and what it holds counts against its team.
             task.moving = True
         if task.moving and not task.withdrawn:
             commands.append(Kill(key, attempt, 0.0))
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import Any
 
+import msgspec
 import pytest
 import trio
 from conftest import job_body
@@ -165,6 +166,41 @@
     assert not part.owner.deaf(part.now)
 
 
+def test_a_cancelled_start_that_may_be_held_up_empties_its_machine(settings: Settings) -> None:
+    """Found by reading: beside tasks that go on the machine was returned only after them, and the
+    start could arrive later than `cancel_s`. An answer in time changes nothing for them."""
+    for answered in (True, False):
+        part = Part(settings, [])
+        part.put(job_key("wk-000002"), job_record(
+            parse_job(job_body("wk-000002", crew="red", cpus=1.0, memoryGb=1.0)), 0.0, False))
+        part.put(share_key("wk-000002", 0), {"t": {"": [0, 1]}, "d": []})
+        message = Report("m-1", "small", "a", True, 1, 0, TOKEN, "m:1")
+
+        def told(*tasks: TaskReport, part: Part = part, message: Report = message) -> list[Command]:
+            part.seq += 1
+            report = msgspec.structs.replace(message, seq=part.seq, tasks=list(tasks))
+            return part.owner.on_report(report, part.now)
+
+        told()
+        part.tick()
+        (other,) = told()
+        running = TaskReport("wk-000002/0", other.attempt, "running")
+        told(running)
+        part.allot([0])
+        part.tick()
+        ((name, _, session, commands),) = part.owner.to_push(part.now, 10)
+        part.cancel()
+        kills = []
+        for n in range(12):
+            part.now += 1.0
+            if answered and n == 3:
+                part.owner.pushed(name, session, commands)
+            kills.append(told(running))
+        first = next((n for n, some in enumerate(kills) if some), None)
+        assert first == (None if answered else 6)
+        assert answered or kills[6] == [Kill(other.task, other.attempt, 0.0)]
+
+
 # -- cancellations --------------------------------------------------------------------------
 
 ONE: list[dict[str, Any]] = [
