Review, case 1: a copy of an answered direct command starts a task twice

The case has its own stand-ins for cloud, workers and users in review/common; the state service is the project's own stand-in.

--- /dev/null
+++ b/review/common/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins and helpers that the review's cases share."""
