Review, case 1: the site's own notice; ports that no outgoing connection takes

A run of a trial found its port taken by a connection. The cases now choose ports below those of outgoing connections, and take a seed. The notice is the nominal one of the site, 15 s.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -9,7 +9,7 @@
 from common.platform import MachineType, Worker
 from common.users import job
 
-NOTICE_S = 10.0  # nominal notice of a spot machine (the site files' `notice_s`)
+NOTICE_S = 15.0  # nominal notice of a spot machine (the site files' `notice_s`)
 # Bounds on how late the copy comes: those of the pages for late commands.
 MIN_LATE_S, MAX_LATE_S = 2.0, 16.0
 ROUNDS = 4
--- a/review/common/case.py
+++ b/review/common/case.py
@@ -1,6 +1,7 @@
 """Runs one case: starts the platform and the controllers, plays the case, ends everything."""
 
 import os
+import random
 import sys
 import tempfile
 import traceback
@@ -40,7 +41,9 @@
 ) -> None:
     """Plays a case and exits with 1 if the rule was broken, 0 if it held, 2 if it couldn't run."""
     record = Record(folder / "record.txt")
-    record.note(f"disruption: {'on' if TROUBLE else 'off'}")
+    seed = int(os.environ.get("SEED", "1"))
+    random.seed(seed)
+    record.note(f"disruption: {'on' if TROUBLE else 'off'}, seed {seed}")
     code = 2
     with tempfile.TemporaryDirectory() as name:
         directory = Path(name)
--- a/review/common/controllers.py
+++ b/review/common/controllers.py
@@ -1,6 +1,7 @@
 """Starts controllers as separate processes, with the `run` line of the deploy file."""
 
 import os
+import random
 import shlex
 import signal
 import socket
@@ -45,16 +46,28 @@
     core_share: float = 0.36
 
 
+# Below the ports that the system gives to outgoing connections, so that none of those takes a port
+# between its choice and its use.
+FIRST_PORT, LAST_PORT = 15_000, 32_000
+_chosen_ports: set[int] = set()
+_port_choice = random.Random()  # not seeded: several cases may run at a time
+
+
 def free_addresses(count: int) -> list[str]:
-    """Loopback addresses whose ports are free now."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for sock in sockets:
-            sock.bind(("127.0.0.1", 0))
-        return [f"127.0.0.1:{sock.getsockname()[1]}" for sock in sockets]
-    finally:
-        for sock in sockets:
-            sock.close()
+    """Loopback addresses whose ports are free now, each chosen once."""
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = _port_choice.randrange(FIRST_PORT, LAST_PORT)
+        if port in _chosen_ports:
+            continue
+        with socket.socket() as sock:
+            try:
+                sock.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _chosen_ports.add(port)
+        addresses.append(f"127.0.0.1:{port}")
+    return addresses
 
 
 class Controllers:
