Log direct commands, answers' commands and attempts that run beside the current one

Four explanations had to be told apart, and the logs could not do it, since only an attempt's end was logged:

1. the owner has an attempt forgotten whose direct `run` was answered, so that a copy of it starts the attempt again (the reviewer's guess); 2. the request itself was late: unanswered, or of another session or token; 3. the owner concluded too early that the first attempt had ended, and the second one was started beside it; 4. the copy is harmless alone, and the `kill` for the first attempt was lost or late.

Now every direct command is logged with token and session, its answer with the status, each command of an answer to a check-in with its token (all at debug), and an attempt that a worker reports alive although it is not the task's current one (at info: an operator sees this fault without debug).

--- a/ryegauge/coordination/command_sender.py
+++ b/ryegauge/coordination/command_sender.py
@@ -48,11 +48,20 @@
         """Sends commands to one worker and processes its answer, which is a report."""
         body = report_reply(owner.token, commands)
         body["shift"] = session
+        for command in commands:
+            log.debug(
+                "%s: direct command under token %d, session %d: %s",
+                name,
+                owner.token,
+                session,
+                command,
+            )
         try:
             client = self._worker_client(address)
             status, answer, _ = await client.request(
                 "POST", "/commands", body, timeout_s=self._context.report_s
             )
+            log.debug("%s: direct commands in session %d answered with %d", name, session, status)
             if status not in (200, 409):
                 return
             report = parse_report(answer)
--- a/ryegauge/coordination/shard_owner.py
+++ b/ryegauge/coordination/shard_owner.py
@@ -354,6 +354,8 @@
             machine.idle_since = now
         if commands:
             self.revision += 1
+        for command in commands:
+            log.debug("%s: answer under token %d: %s", machine.name, self.token, command)
         return commands
 
     def _kill_cancelled(self, report: Report) -> list[Command]:
@@ -462,6 +464,14 @@
         if task is None and self._check_unrecorded(machine, key, entry, now):
             return
         if task is None or not is_current:
+            log.info(
+                "%s: %s/%d attempt %d is %s, but the task's attempt is %s: killed",
+                machine.name,
+                *key,
+                attempt,
+                entry.state,
+                "not held here" if task is None else f"{task.attempt} on {task.machine}",
+            )
             commands.append(Kill(key, attempt, 0.0))
             return
         task.phase = "seen"
