Emulator: late direct commands, copies of them, and attempts kept one by one

The emulated worker kept one attempt for each task and passed over a `run` of another one for as long as the first was listed, also when that had ended. The protocol's worker knows attempts: a `run` has no effect only for an attempt that it has, and is refused as `busy` beside one that lives. Now the emulated one does that, so an ended attempt that is kept does not hide the next.

--- a/ryegauge/emulator/network.py
+++ b/ryegauge/emulator/network.py
@@ -26,6 +26,13 @@
 # likely to be from an earlier session or attempt.
 KEPT_REPORTS_PER_SOURCE = 4
 
+# Path of workers for direct commands.
+COMMANDS_PATH = "/commands"
+# Least and greatest delay of a direct command that is held up, seconds.
+LATE_COMMAND_DELAY_S = (2.0, 16.0)
+# Least delay of a copy of a report or of a direct command, seconds.
+MIN_COPY_DELAY_S = 2.0
+
 # Host whose code the current trio task runs.
 CURRENT_HOST: ContextVar[str] = ContextVar("host", default="")
 
@@ -90,6 +97,11 @@
         # Share of workers' reports of which a copy is kept until `deliver_kept_reports`.
         self.kept_reports = 0.0
         self._report_copies: dict[str, list[tuple[str, str, bytes]]] = defaultdict(list)
+        # Share of direct commands that get no answer and are executed later.
+        self.late_commands = 0.0
+        # Share of direct commands, late ones included, that are delivered once more; the maximum
+        # delay of the copy after the command itself.
+        self.command_copies, self.max_command_copy_delay_s = 0.0, 0.0
 
     def at(self, host: str) -> "HostNetwork":
         """The network as seen from one host."""
@@ -132,8 +144,34 @@
             raise ResponseTimeout("no answer")
         if self.late_reports and target == "/checkin" and self._draw(self.late_reports):
             self.nursery.start_soon(
-                self._deliver_later, address, method, target, payload, 2.0, self.max_copy_delay_s
+                self._deliver_later,
+                address,
+                method,
+                target,
+                payload,
+                MIN_COPY_DELAY_S,
+                self.max_copy_delay_s,
             )
+        if target == COMMANDS_PATH:
+            late = bool(self.late_commands) and self._draw(self.late_commands)
+            copied = bool(self.command_copies) and self._draw(self.command_copies)
+            delay_s = self._rng.uniform(*LATE_COMMAND_DELAY_S) if late else 0.0
+            if copied:
+                self.nursery.start_soon(
+                    self._deliver_later,
+                    address,
+                    method,
+                    target,
+                    payload,
+                    delay_s + MIN_COPY_DELAY_S,
+                    delay_s + self.max_command_copy_delay_s,
+                )
+            if late:
+                self.nursery.start_soon(
+                    self._deliver_later, address, method, target, payload, delay_s, delay_s
+                )
+                await trio.sleep(timeout_s)
+                raise ResponseTimeout("no answer")
         if self.kept_reports and target == "/checkin" and self._draw(self.kept_reports):
             self._report_copies[source].append((method, target, payload))
             del self._report_copies[source][KEPT_REPORTS_PER_SOURCE:]
--- a/ryegauge/emulator/waiting.py
+++ b/ryegauge/emulator/waiting.py
@@ -65,7 +65,7 @@
         self._tasks_by_zone: dict[str, dict[str, int]] = defaultdict(lambda: defaultdict(int))
         for w in machines:
             free = self._free_resources[w.name] = [w.type.cpus, w.type.memory_gb, w.type.gpus]
-            for task, attempt in w.tasks.items():
+            for (task, _), attempt in w.attempts.items():
                 uid = task.rpartition("/")[0]
                 if attempt.state == "ended" or (spec := specs.get(uid)) is None:
                     continue
--- a/ryegauge/emulator/workers.py
+++ b/ryegauge/emulator/workers.py
@@ -89,7 +89,7 @@
         self.returned_while_busy = False  # released to the cloud while tasks ran on it
         self.session, self.seq, self.token = 1, 0, 0
         self.notice_at: float | None = None
-        self.tasks: dict[str, Attempt] = {}
+        self.attempts: dict[tuple[str, int], Attempt] = {}  # (task, attempt number) -> state
         self.images: dict[str, float] = {}  # cached, name -> GB, least recently used first
         self._fetches: dict[str, trio.Event] = {}
         self.hung_until = 0.0  # until then it neither sends nor answers
@@ -100,7 +100,9 @@
 
     def active_tasks(self) -> list[str]:
         """Tasks that run or write a checkpoint now."""
-        return [t for t, a in self.tasks.items() if a.state in ("running", "flushing")]
+        return [
+            task for (task, _), a in self.attempts.items() if a.state in ("running", "flushing")
+        ]
 
     def shut_down(self) -> None:
         """Stops the machine with everything on it."""
@@ -141,9 +143,9 @@
             # Not delayed while the machine hangs: its tasks end with the lease.
             await trio.sleep_until(self.lease_renewed_at + lease_s + 0.001)
             if trio.current_time() > self.lease_renewed_at + lease_s:
-                for task, attempt in self.tasks.items():
+                for (task, _), attempt in self.attempts.items():
                     self._end(task, attempt, "lease")
-                self.tasks.clear()
+                self.attempts.clear()
                 self.session += 1
                 self.lease_renewed_at = trio.current_time()
                 self.changed.set()
@@ -166,13 +168,13 @@
             "warningS": warning_s,
             "pieces": [
                 {
-                    "piece": t,
+                    "piece": task,
                     "try": a.number,
                     "status": a.state,
                     "cause": a.cause,
                     **({"saved": True} if a.saved else {}),
                 }
-                for t, a in self.tasks.items()
+                for (task, _), a in self.attempts.items()
             ],
         }
 
@@ -238,23 +240,26 @@
     def _execute_orders(self, orders: list[dict[str, Any]]) -> None:
         for order in orders:
             task, number = order["piece"], order["try"]
-            attempt = self.tasks.get(task)
+            attempt = self.attempts.get((task, number))
             match order["verb"]:
-                case "run":
-                    if attempt is None:
-                        self._start(task, Attempt(number))
-                case "kill" if attempt is not None and attempt.number == number:
+                case "run" if attempt is None:
+                    self._start(task, Attempt(number))
+                case "kill" if attempt is not None:
                     self._kill(task, attempt, order.get("leewayS", 0.0))
-                case "forget" if attempt is not None and attempt.number == number:
-                    if attempt.state == "ended":
-                        del self.tasks[task]
+                case "forget" if attempt is not None and attempt.state == "ended":
+                    del self.attempts[task, number]
             self.changed.set()
 
     def _start(self, task: str, attempt: Attempt) -> None:
-        self.tasks[task] = attempt
+        is_busy = any(
+            other == task and held.state != "ended" for (other, _), held in self.attempts.items()
+        )
+        self.attempts[task, attempt.number] = attempt
         spec = self._environment.job_spec(task.rpartition("/")[0])
         if spec is None:
             attempt.state, attempt.cause = "ended", "unknown"
+        elif is_busy:
+            attempt.state, attempt.cause = "ended", "busy"
         elif not self._has_room(task, spec):
             attempt.state, attempt.cause = "ended", "no_room"
         else:
@@ -262,7 +267,7 @@
 
     def _has_room(self, task: str, spec: dict[str, Any]) -> bool:
         cpus, memory_gb, cards = spec["cpus"], spec["memoryGb"], spec["cards"]
-        for other, attempt in self.tasks.items():
+        for (other, _), attempt in self.attempts.items():
             if other != task and attempt.state != "ended":
                 other_spec = self._environment.job_spec(other.rpartition("/")[0]) or {}
                 cpus += other_spec.get("cpus", 0.0)
@@ -325,7 +330,9 @@
         await self._wait_while_hung()
 
         def is_current() -> bool:
-            is_current_attempt = self.tasks.get(task) is attempt and self.session == session
+            is_current_attempt = (
+                self.attempts.get((task, attempt.number)) is attempt and self.session == session
+            )
             return self.alive and is_current_attempt and attempt.state != "ended"
 
         if not is_current():
--- a/ryegauge/emulator/world.py
+++ b/ryegauge/emulator/world.py
@@ -290,6 +290,28 @@
         finally:
             setattr(self.network, name, 0.0)
 
+    @contextmanager
+    def late_commands(self, share: float) -> Iterator[None]:
+        """A share of the direct commands gets no answer and is executed 2 to 16 s later, if token
+        and session still match."""
+        self.network.late_commands = share
+        try:
+            yield
+        finally:
+            self.network.late_commands = 0.0
+
+    @contextmanager
+    def command_copies(self, share: float) -> Iterator[None]:
+        """A share of the direct commands, answered or late ones, arrives a second time: from 2 s
+        later to well after the bound of cancellations."""
+        self.network.command_copies = share
+        cancel_s = self.settings[0].settings.workers.cancel_s
+        self.network.max_command_copy_delay_s = 1.5 * cancel_s
+        try:
+            yield
+        finally:
+            self.network.command_copies = 0.0
+
     def _on_state_write(self, key: str, value: Any) -> None:
         # The leader's record: its version is the leader's token, so each write begins a new
         # leadership.
--- a/ryegauge/experiments/day.py
+++ b/ryegauge/experiments/day.py
@@ -109,6 +109,8 @@
         "silent",
         "late_writes",
         "late_reports",
+        "late_commands",
+        "command_copies",
         "machines_deaf",
         "leader_refused",
         "leader_cut",
@@ -121,8 +123,9 @@
     lasts_s: NonNegativeFloat = 0.0
     # Share, for `machines_*` and `spot_taken`: of the machines that are up; for `boots`: of the
     # boots that never end; for `late_writes`: of transactions; for `late_reports`: of reports;
-    # for `cancel_at_end`: of the jobs that end. For `state_back`, which rolls the data back by
-    # `lasts_s` seconds, 1 also drops the leases.
+    # for `late_commands` and `command_copies`: of direct commands; for `cancel_at_end`: of the
+    # jobs that end. For `state_back`, which rolls the data back by `lasts_s` seconds, 1 also
+    # drops the leases.
     part: Annotated[float, msgspec.Meta(ge=0, le=1)] = 0.0
     # For `machines_deaf` and `machines_mute`, instead of `part`: number of machines, or 0 for all
     # in `zone`; for `leader_refused` and `leader_cut`: number of controllers, the leader first;
@@ -145,6 +148,8 @@
     "machines_mute": ("count", "part", "zone"),
     "cancel_now": ("count",),
     "cancel_at_end": ("part",),
+    "late_commands": ("part",),
+    "command_copies": ("part",),
 }
 
 
--- a/ryegauge/experiments/play.py
+++ b/ryegauge/experiments/play.py
@@ -115,6 +115,12 @@
         case "late_reports":
             with world.late_reports(trouble.part, trouble.for_next):
                 await trio.sleep(trouble.lasts_s)
+        case "late_commands":
+            with world.late_commands(trouble.part):
+                await trio.sleep(trouble.lasts_s)
+        case "command_copies":
+            with world.command_copies(trouble.part):
+                await trio.sleep(trouble.lasts_s)
         case "machines_deaf":
             with world.inbound_loss(_select_machines(world, trouble)):
                 await trio.sleep(trouble.lasts_s)
--- a/ryegauge/experiments/recovery.py
+++ b/ryegauge/experiments/recovery.py
@@ -182,7 +182,7 @@
         cpus_at.append((now, sum(w.type.cpus for w in reporting)))
         live = [w for w in world.workers.values() if w.alive and w.up]
         renewed.append((now, sum(w.lease_renewed_at > crashed_at for w in live), len(live)))
-        used_machines.update(w.name for w in world.workers.values() if w.tasks)
+        used_machines.update(w.name for w in world.workers.values() if w.attempts)
         up = sum(not scope.cancel_called for scope in world.scopes)
         if up and not world.state.outage:
             answerable_at.append(now)
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -298,6 +298,83 @@
     run_with_world(tmp_path, scenario)
 
 
+def record_commands(world: World, address: str) -> list[tuple[float, int]]:
+    """Serves a worker's address; the returned list receives (time, token) of each request."""
+    requests: list[tuple[float, int]] = []
+
+    async def handle(method: str, target: str, body: bytes) -> Reply:
+        requests.append((trio.current_time(), decode(body)["baton"]))
+        return Reply(200, {})
+
+    world.network.handlers[address] = handle
+    return requests
+
+
+@pytest.mark.parametrize("late", [False, True])
+def test_direct_commands_come_late_and_again(tmp_path: Path, late: bool) -> None:
+    """A late command is not answered and comes once, 2 to 16 s late; of an answered or a late one
+    a copy follows."""
+
+    async def scenario(world: World) -> None:
+        requests = record_commands(world, "m-9:9000")
+        began = trio.current_time()
+        share = 1.0 if late else 0.0
+        with world.late_commands(share), world.command_copies(1.0):
+            for token in range(1, 11):
+                body = {"baton": token, "shift": 1, "orders": []}
+                sent = world.network.call("10.0.0.1", "m-9:9000", "POST", "/commands", body, 0.1)
+                if late:
+                    with pytest.raises(ResponseTimeout):
+                        await sent
+                else:
+                    assert (await sent)[0] == 200
+        await trio.sleep(80.0)
+        for token in range(1, 11):
+            first, copy = (at - began for at, other in requests if other == token)
+            assert (1.9 < first < 17.1) == late
+            assert first + 1.9 < copy < first + 1.5 * 35.0 + 0.1
+        count = len(requests)
+        body = {"baton": 99, "shift": 1, "orders": []}
+        await world.network.call("10.0.0.1", "m-9:9000", "POST", "/commands", body, 0.1)
+        await trio.sleep(80.0)
+        assert len(requests) == count + 1  # none is late or copied any more
+
+    run_with_world(tmp_path, scenario)
+
+
+def test_a_worker_keeps_each_attempt_until_it_is_forgotten(tmp_path: Path) -> None:
+    """`run` has no effect for an attempt in any state, and starts it again once it is forgotten;
+    beside a living attempt of its task it is refused as `busy`, beside an ended one it starts."""
+
+    async def scenario(world: World) -> None:
+        record_reports(world)
+        world.checker.specs["wk-1"] = dict(SPEC)
+        worker = world.workers[world.rent("small", "a", True)]
+        await trio.sleep(30.0)
+
+        async def command(verb: str, number: int) -> dict[int, tuple[str, str | None]]:
+            order = {"verb": verb, "piece": "wk-1/0", "try": number, "leewayS": 0.0}
+            body = {"baton": 1, "shift": worker.session, "orders": [order]}
+            _, report, _ = await world.network.call(
+                "10.0.0.1", worker.address, "POST", "/commands", body, 2.0
+            )
+            return {entry["try"]: (entry["status"], entry["cause"]) for entry in report["pieces"]}
+
+        stopped = ("ended", "stopped")
+        assert await command("run", 1) == {1: ("fetching", None)}
+        assert await command("run", 2) == {1: ("fetching", None), 2: ("ended", "busy")}
+        assert await command("kill", 1) == {1: stopped, 2: ("ended", "busy")}
+        assert await command("forget", 2) == {1: stopped}
+        assert await command("run", 1) == {1: stopped}
+        assert await command("run", 3) == {1: stopped, 3: ("fetching", None)}
+        assert await command("forget", 3) == {1: stopped, 3: ("fetching", None)}
+        assert await command("kill", 3) == {1: stopped, 3: stopped}
+        assert await command("forget", 1) == {3: stopped}
+        assert await command("run", 1) == {3: stopped, 1: ("fetching", None)}
+
+    run_with_world(tmp_path, scenario)
+
+
 SPEC: dict[str, Any] = {
     **job_body("wk-1", pieces=1),
     "really": 5.0,
@@ -391,12 +468,12 @@
             case "cancelled":
                 checker.cancel_requested.add("wk-1")
             case "placed":
-                worker.tasks["wk-1/0"] = Attempt(1)
+                worker.attempts["wk-1/0", 1] = Attempt(1)
             case "no capacity":
-                worker.tasks["wk-2/0"] = Attempt(1)
+                worker.attempts["wk-2/0", 1] = Attempt(1)
             case "limit":
                 checker.specs["wk-2"]["cpus"], checker.specs["wk-2"]["crew"] = 31.0, "red"
-                other.tasks["wk-2/0"] = Attempt(1)
+                other.attempts["wk-2/0", 1] = Attempt(1)
             case "type":
                 spec["builds"] = ["large"]
             case "zone":
--- a/tests/test_experiments.py
+++ b/tests/test_experiments.py
@@ -102,6 +102,8 @@
         ("late_writes", "cancel_now", r"troubles\[0\]\.count: cancel_now needs count"),
         ('"late_writes"\npart = 0.5', '"machines_mute"', r"troubles\[0\]\.count: machines_mute"),
         ('"late_writes"\npart = 0.5', '"cancel_at_end"', r"troubles\[0\]\.part: cancel_at_end"),
+        ('"late_writes"\npart = 0.5', '"late_commands"', r"troubles\[0\]\.part: late_commands"),
+        ('"late_writes"\npart = 0.5', '"command_copies"', r"troubles\[0\]\.part: command_copies"),
     ],
 )
 def test_an_error_in_a_trouble_names_its_place(
@@ -120,6 +122,8 @@
     kinds = [
         "late_writes",
         "late_reports",
+        "late_commands",
+        "command_copies",
         "machines_deaf",
         "leader_refused",
         "leader_cut",
@@ -138,7 +142,7 @@
         SMALL_DAY
         + "".join(
             TROUBLE.replace("late_writes", overrides.get(kind, kind)).replace(
-                "at_s = 1", f"at_s = {10 + 4 * n}"
+                "at_s = 1", f"at_s = {10 + 3.5 * n}"
             )
             for n, kind in enumerate(kinds)
         )
@@ -153,6 +157,8 @@
                 for name, is_active in {
                     "late_writes": net.late_writes == 0.5,
                     "late_reports": net.late_reports == 0.5,
+                    "late_commands": net.late_commands == 0.5,
+                    "command_copies": net.command_copies == 0.5,
                     "machines_deaf": net.inbound_loss,
                     "leader_refused": net.refused_routes,
                     "leader_cut": net.cuts,
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -667,12 +667,12 @@
             }
             checker.specs["wk-1"] = spec
             checker.specs["wk-2"] = {**spec, "awaits": ["wk-1"]}
-            one.tasks["wk-1/0"] = Attempt(1, "running")
+            one.attempts["wk-1/0", 1] = Attempt(1, "running")
             checker.on_task_started(one, "wk-1/0")
             assert checker.broken == []
             match rule:
                 case "ran_twice":
-                    two.tasks["wk-1/0"] = Attempt(2, "running")
+                    two.attempts["wk-1/0", 2] = Attempt(2, "running")
                     checker.on_task_started(two, "wk-1/0")
                 case "quota":
                     spec["cpus"] = 40.0
@@ -700,7 +700,7 @@
                 case "not_done":
                     checker.answered("wk-1", 200, {"status": "done"}, "poll")
                 case "too_early":
-                    one.tasks["wk-2/0"] = Attempt(1, "running")
+                    one.attempts["wk-2/0", 1] = Attempt(1, "running")
                     checker.on_task_started(one, "wk-2/0")
                 case "orphaned":
                     checker.cancelled_at["wk-1"] = trio.current_time()
