Fix a task that ran twice: forget directly started attempts under a higher token only

Cause: an owner took an answered direct `run` for one that cannot come any more, so when its attempt had ended it had the worker forget it under the token of that very request. A later copy of the request finds token and session unchanged and the attempt unknown, and starts it again.

Fix: `forget` for an attempt whose `run` was sent directly goes only into an answer with a higher token than the request's. The worker takes both or neither; having taken them, it refuses the request and each copy with 409, whenever they come. The token needs no write: any revision at which the owner's replica shows its role record is below the token of every later owner, since the next claim changes that record later. Without a higher one (nothing written since, or an outage) the worker keeps the ended attempt, and a `run` of it has no effect. Requests without an answer that nobody wants any more are settled by the same means: once the worker has shown the higher token without the attempt, it never starts, and its machine need not be returned for that.

Cost: nothing is written; a token goes up only with a `forget`, after which the worker reports anyway, or to settle a late start. Reports grow only while there is no higher token, and a machine with 64 such attempts gets its starts in answers: 6.4 KiB of 64.

test_an_unanswered_direct_start_is_in_flight_for_the_session expected `forget` as soon as the request was answered, which is the fault. It now expects none under the same token, and one under a higher. Other tests changed only for `DirectRequest` in place of a tuple.

--- a/ryegauge/coordination/command_sender.py
+++ b/ryegauge/coordination/command_sender.py
@@ -5,9 +5,10 @@
 import trio
 
 from ryegauge.coordination.connection_limits import divide_connections
+from ryegauge.coordination.direct_runs import DirectRequest
 from ryegauge.coordination.node_context import NodeContext
 from ryegauge.coordination.shard_owner import ShardOwner
-from ryegauge.protocol.workers import Command, parse_report, report_reply
+from ryegauge.protocol.workers import parse_report, report_reply
 from ryegauge.transport.http import HttpClient, Malformed, Unreachable, split_address
 
 log = logging.getLogger(__name__)
@@ -38,26 +39,25 @@
                     continue
                 for owner in list(self._context.owned.values()):
                     free = self._max_in_flight - self._in_flight
-                    for name, address, session, commands in owner.take_direct_runs(now, free):
+                    for request in owner.take_direct_runs(now, free):
                         self._in_flight += 1
-                        nursery.start_soon(self._send, owner, name, address, session, commands)
+                        nursery.start_soon(self._send, owner, request)
 
-    async def _send(
-        self, owner: ShardOwner, name: str, address: str, session: int, commands: list[Command]
-    ) -> None:
+    async def _send(self, owner: ShardOwner, request: DirectRequest) -> None:
         """Sends commands to one worker and processes its answer, which is a report."""
-        body = report_reply(owner.token, commands)
+        name, session = request.machine, request.session
+        body = report_reply(request.token, request.commands)
         body["shift"] = session
-        for command in commands:
+        for command in request.commands:
             log.debug(
                 "%s: direct command under token %d, session %d: %s",
                 name,
-                owner.token,
+                request.token,
                 session,
                 command,
             )
         try:
-            client = self._worker_client(address)
+            client = self._worker_client(request.address)
             status, answer, _ = await client.request(
                 "POST", "/commands", body, timeout_s=self._context.report_s
             )
@@ -72,8 +72,8 @@
         finally:
             self._in_flight -= 1
         if self._context.owned.get(owner.shard) is owner:
-            owner.on_direct_answer(name, session, commands)
-            if report.token <= owner.token:
+            owner.on_direct_answer(request)
+            if not owner.is_superseded_by(report.token):
                 owner.on_report(report, trio.current_time(), checkin=False)
 
     def _worker_client(self, address: str) -> HttpClient:
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -346,7 +346,7 @@
             return Reply(421, {})
         if not self._context.controller_lease.valid(now):
             return Reply(503, {"error": "no authority"})
-        if report.token > owner.token:
+        if owner.is_superseded_by(report.token):
             # The worker has seen a newer token, so it rejects this owner's commands.
             self._context.syncer.request_read()
             return Reply(421, {})
@@ -354,7 +354,7 @@
         commands = owner.on_report(report, now)
         if owner.revision != revision_before:
             self._context.wake()
-        return Reply(200, report_reply(owner.token, commands))
+        return Reply(200, report_reply(owner.command_token(report.machine), commands))
 
     async def _handle_public(self, method: str, target: str, body: bytes) -> Reply:
         """Answers a request of a worker or a user; 503 to users until this controller is ready."""
--- a/ryegauge/coordination/owner_records.py
+++ b/ryegauge/coordination/owner_records.py
@@ -4,6 +4,7 @@
 import math
 from typing import Literal
 
+from ryegauge.coordination.direct_runs import AttemptKey, DirectRuns
 from ryegauge.detection.failure_diagnosis import ProbeResult
 from ryegauge.protocol.workers import Report, TaskKey, TaskReport
 
@@ -59,6 +60,7 @@
     __slots__ = (
         "address",
         "alive_attempts",
+        "direct_runs",
         "first_heard_at",
         "heard_at",
         "heard_steadily_since",
@@ -70,13 +72,14 @@
         "notice_at",
         "pending_run_since",
         "probes",
+        "retained_attempts",
         "retired_unconfirmed",
         "retiring",
         "spot",
         "tasks",
+        "token",
         "token_confirmed",
         "type",
-        "unanswered_runs",
         "unreachable_until",
         "zone",
     )
@@ -87,9 +90,11 @@
         self.zone = report.zone
         self.spot = report.spot
         self.address = report.addr
-        # Attempts whose `run` was sent straight to the worker and not answered: they may still
-        # start at any time in this session.
-        self.unanswered_runs: set[tuple[TaskKey, int]] = set()
+        self.token = report.token  # the highest that it has shown or was given by this owner
+        self.direct_runs = DirectRuns()
+        # Ended attempts in its last report that cannot be forgotten yet, since a copy of their
+        # direct `run` would start them again.
+        self.retained_attempts = 0
         self.token_confirmed = False  # has reported under this token
         # (session, sequence number) of the newest report under this token.
         self.last_report_id = (0, 0)
@@ -107,4 +112,4 @@
         self.idle_since = now
         self.images: dict[str, float] = {}  # presumed cached, most recently used last
         self.tasks: set[TaskKey] = set()  # tasks placed here
-        self.alive_attempts: dict[tuple[TaskKey, int], TaskReport] = {}  # attempts as last reported
+        self.alive_attempts: dict[AttemptKey, TaskReport] = {}  # attempts as last reported
--- a/ryegauge/coordination/shard_owner.py
+++ b/ryegauge/coordination/shard_owner.py
@@ -11,12 +11,13 @@
 
 import msgspec
 
-from ryegauge.bookkeeping.epochs import RECOVERED, RESTORING, epoch_of_token
+from ryegauge.bookkeeping.epochs import RECOVERED, RESTORING, epoch_of_token, fencing_token
 from ryegauge.bookkeeping.ranges import Ranges
 from ryegauge.bookkeeping.state_replica import StateReplica
 from ryegauge.config import Settings
 from ryegauge.coordination import assignment_updates
 from ryegauge.coordination.demands import make_demand, records_zones, task_sizes
+from ryegauge.coordination.direct_runs import AttemptKey, DirectRequest
 from ryegauge.coordination.owner_records import Machine, Phase, Task
 from ryegauge.coordination.view_publisher import MachineSignature, ViewPublisher
 from ryegauge.detection.failure_diagnosis import SUSPECT_GAPS, ProbeResult
@@ -41,6 +42,10 @@
 
 # Removed machines whose late reports are still recognised; bounds the memory they take.
 MAX_REMEMBERED_MACHINES = 10_000
+# Ended attempts on a machine that copies of their direct `run` might start again, beyond which
+# its next tasks are started in answers alone: such attempts stay in its reports, whose size is
+# limited.
+MAX_RETAINED_ATTEMPTS = 64
 # Longest pause, in leases, before a task that keeps failing is retried.
 MAX_RETRY_PAUSE_LEASES = 4.0
 
@@ -73,6 +78,7 @@
         report and no assignment holds, since the state service may have lost its record."""
         self.shard = shard
         self.token = token
+        self._highest_token = token  # given to any worker
         self._created_at = now
         self._replica = replica
         self._settings = settings
@@ -266,13 +272,48 @@
             if task.phase == "unplaced":
                 self._mark_for_removal(task, done=False)
 
+    # -- tokens of commands ----------------------------------------------------------
+
+    def command_token(self, machine: str) -> int:
+        """The token that the next message to the machine's worker has to carry."""
+        known = self.machines.get(machine)
+        return self.token if known is None else known.token
+
+    def is_superseded_by(self, token: int) -> bool:
+        """Whether a worker that has seen `token` has been answered by a later owner: every token
+        of a later owner is higher than all that this one gives to workers."""
+        return token > self._highest_token
+
+    def _advance_token(self, machine: Machine) -> None:
+        """Has the worker refuse all direct commands sent to it so far, from the answer to its
+        present check-in on, if the state service's revision allows a higher token.
+
+        Any revision at which the replica shows this owner's role serves as a token: the claim of
+        the next owner comes after it, so its token is higher."""
+        holder = self._replica.shards.get(self.shard)
+        if holder is None or holder.token != self.token:
+            return
+        newest = fencing_token(self._replica.epoch, self._replica.state_revision)
+        if newest > machine.token:
+            log.debug("%s: token %d after %d", machine.name, newest, machine.token)
+            machine.token = newest
+            self._highest_token = max(self._highest_token, newest)
+
+    def _is_refused_from_now_on(self, machine: Machine, attempt: AttemptKey) -> bool:
+        """Whether a worker that takes the answer to its present check-in refuses every direct
+        `run` of the attempt from then on; advances the token for that if necessary."""
+        if machine.direct_runs.may_start(attempt, machine.token):
+            self._advance_token(machine)
+        return not machine.direct_runs.may_start(attempt, machine.token)
+
     # -- reports --------------------------------------------------------------------
 
     def on_report(self, report: Report, now: float, checkin: bool = True) -> list[Command]:
         """Processes a report and returns the commands for its answer.
 
-        `checkin` is false for a report that was the answer to direct commands: it renews no
-        lease, and the answer to an earlier check-in may still be in flight."""
+        The answer has to carry the token `command_token`. `checkin` is false for a report that
+        was the answer to direct commands: it renews no lease, the answer to an earlier check-in
+        may still be in flight, and there is no answer to carry commands."""
         report_id = (report.session, report.seq)
         machine = self.machines.get(report.machine)
         if report_id <= self._ignored_up_to.get(report.machine, (0, 0)):
@@ -282,6 +323,7 @@
             return []
         if machine is None:
             machine = self.machines[report.machine] = Machine(report, now)
+        machine.token = max(machine.token, report.token, self.token)
         if checkin:
             if report_id <= machine.last_checkin_id:
                 # A late duplicate: the worker has sent a newer report since and waits for no
@@ -304,11 +346,14 @@
         first_report = not machine.token_confirmed
         new_session = machine.token_confirmed and report.session != machine.last_report_id[0]
         if new_session:
-            machine.unanswered_runs.clear()
+            machine.direct_runs.on_session_ended()
             if now - machine.heard_steadily_since > self.lease_s / 2:
                 # Its lease expired although its reports were answered: the answers do not reach
                 # it. Once a session lasts longer than a lease, they do again.
                 machine.unreachable_until = now + self.lease_s + self._settings.report_gap_s
+        machine.direct_runs.on_token_shown(report.token)
+        if checkin:
+            machine.retained_attempts = 0
         machine.last_report_id = report_id
         machine.token_confirmed = True
         machine.address = report.addr or machine.address
@@ -323,7 +368,7 @@
         commands: list[Command] = []
         try:
             for (key, attempt), entry in reported.items():
-                self._process_entry(machine, key, attempt, entry, now, commands)
+                self._process_entry(machine, key, attempt, entry, now, commands, checkin)
         except Exception:
             # An internal error: the report was processed only partially, so the machine must not
             # count as having reported. Otherwise unseen tasks that the report lists would be
@@ -339,23 +384,25 @@
                 commands.append(Run(key, task.attempt))
             elif (
                 checkin
-                and (key, task.attempt) in machine.unanswered_runs
+                and machine.direct_runs.is_unanswered((key, task.attempt))
+                and not self._is_refused_from_now_on(machine, (key, task.attempt))
                 and not self._replica.is_cancelled(key[0])
             ):
-                # No longer wanted, but its direct `run` got no answer and may still arrive. `run`
-                # and `kill` in order make the worker record the attempt as ended, and it keeps
-                # that record for this session (no `forget` is sent), so the late `run` has no
-                # effect. Otherwise only the end of the session or the machine's return would
-                # prove that it does not run; next to a service neither comes, and the task would
-                # count against its team for good. Never for a cancelled job: nothing of it may be
-                # started, not even to be killed.
+                # No longer wanted, but its direct `run` got no answer and may still arrive, and
+                # there is no higher token by which the worker would refuse it. `run` and `kill`
+                # in order make the worker record the attempt as ended, and it keeps that record
+                # until there is a higher token, so the late `run` has no effect. Otherwise only
+                # the end of the session or the machine's return would prove that it does not
+                # run; next to a service neither comes, and the task would count against its team
+                # for good. Never for a cancelled job: nothing of it may be started, not even to
+                # be killed.
                 commands += [Run(key, task.attempt), Kill(key, task.attempt, 0.0)]
         if machine.tasks or machine.alive_attempts:
             machine.idle_since = now
         if commands:
             self.revision += 1
         for command in commands:
-            log.debug("%s: answer under token %d: %s", machine.name, self.token, command)
+            log.debug("%s: answer under token %d: %s", machine.name, machine.token, command)
         return commands
 
     def _kill_cancelled(self, report: Report) -> list[Command]:
@@ -381,18 +428,24 @@
 
         One that was listed before, or belonged to an earlier session, has ended. One that was
         never listed was not started: a worker has one report in flight, so this report is newer
-        than the answer that carried the `run`. This does not hold for a direct command without
-        an answer; nor does the answer to a direct command prove it for check-ins."""
+        than the answer that carried the `run`. This does not hold for a direct command that was
+        neither answered nor refused; nor does the answer to a direct command prove it for
+        check-ins."""
         stuck = False
         for key in list(machine.tasks):
             task = self.tasks[key]
             if (key, task.attempt) in reported:
                 continue
-            unsure = not checkin or (key, task.attempt) in machine.unanswered_runs
+            unanswered = machine.direct_runs.is_unanswered((key, task.attempt))
+            unsure = not checkin or unanswered
             not_wanted = task.withdrawn or machine.retiring
             if task.phase == "seen" or new_session or (not_wanted and not unsure):
                 self._end_attempt(task)
-            elif task.withdrawn and checkin:
+            elif (
+                task.withdrawn
+                and checkin
+                and not self._is_refused_from_now_on(machine, (key, task.attempt))
+            ):
                 # Only the machine's return ensures that the task does not start.
                 machine.retiring = True
                 stuck = stuck or self._replica.is_cancelled(key[0])
@@ -409,6 +462,7 @@
         entry: TaskReport,
         now: float,
         commands: list[Command],
+        checkin: bool,
     ) -> None:
         """Processes one task entry of a report; appends the commands that follow from it."""
         task = self.tasks.get(key)
@@ -431,16 +485,11 @@
         if entry.state == "ended":
             if entry.why != "done":
                 log.info("%s: %s/%d attempt %d ended: %s", machine.name, *key, attempt, entry.why)
-            if (key, attempt) in machine.unanswered_runs:
-                # If the worker forgot the attempt, a late `run` would start it again.
-                forget: list[Command] = []
-            else:
-                forget = [Forget(key, attempt)]
             if task is None:
                 # The assignment no longer holds it: its outcome is recorded, unless the state
                 # service lost the record.
-                if not self._check_unrecorded(machine, key, entry, now):
-                    commands += forget
+                if not self._check_unrecorded(machine, key, entry, now) and checkin:
+                    self._forget(machine, key, attempt, commands)
             elif is_current and entry.why == "done":
                 self._record_success(task, machine, now)
             elif is_current:
@@ -452,14 +501,15 @@
                 self._end_attempt(task)
                 if task_failed and self._faults.is_failing(key[0]):
                     self._return_unstarted(key[0])
-                commands += forget
+                if checkin:
+                    self._forget(machine, key, attempt, commands)
             elif entry.why == "done":
                 if task.phase == "unplaced":
                     self._mark_for_removal(task, done=True)
                 # The worker keeps the attempt until the outcome is recorded and the assignment
                 # no longer holds the task.
-            else:
-                commands += forget
+            elif checkin:
+                self._forget(machine, key, attempt, commands)
             return
         if task is None and self._check_unrecorded(machine, key, entry, now):
             return
@@ -499,6 +549,17 @@
         if task.withdrawn:
             commands.append(Kill(key, attempt, 0.0))
 
+    def _forget(
+        self, machine: Machine, key: TaskKey, attempt: int, commands: list[Command]
+    ) -> None:
+        """Has the worker forget an ended attempt, in the answer to a check-in, unless a late copy
+        of the attempt's direct `run` would start it again: the worker then keeps the attempt,
+        and such a copy has no effect, until there is a higher token."""
+        if self._is_refused_from_now_on(machine, (key, attempt)):
+            commands.append(Forget(key, attempt))
+        else:
+            machine.retained_attempts += 1
+
     def _check_unrecorded(
         self, machine: Machine, key: TaskKey, entry: TaskReport, now: float
     ) -> bool:
@@ -554,34 +615,36 @@
 
     # -- direct commands ------------------------------------------------------------------
 
-    def take_direct_runs(
-        self, now: float, max_machines: int
-    ) -> list[tuple[str, str, int, list[Command]]]:
+    def take_direct_runs(self, now: float, max_machines: int) -> list[DirectRequest]:
         """`run` commands that need not wait for the next check-in, for at most `max_machines`
-        workers: (machine, address, session, commands). Only for workers that reported lately.
-        From here on each attempt counts as possibly started, whatever becomes of the request."""
-        result: list[tuple[str, str, int, list[Command]]] = []
+        workers. Only for workers that reported lately. From here on each attempt counts as
+        possibly started, whatever becomes of the request."""
+        result: list[DirectRequest] = []
         for m in self.machines.values():
             if len(result) >= max_machines:
                 break
             if not m.tasks or not m.address or not self._takes_tasks(m, now):
                 continue
-            commands: list[Command] = []
+            if m.retained_attempts >= MAX_RETAINED_ATTEMPTS:
+                continue
+            commands: list[Run] = []
             for key in sorted(m.tasks):
                 task = self.tasks[key]
                 if task.phase == "placed" and not task.run_sent and not task.withdrawn:
                     task.run_sent = True
-                    m.unanswered_runs.add((key, task.attempt))
                     commands.append(Run(key, task.attempt))
             if commands:
-                result.append((m.name, m.address, m.last_report_id[0], commands))
+                request = DirectRequest(m.name, m.address, m.last_report_id[0], m.token, commands)
+                m.direct_runs.on_sent(request.attempts, request.token)
+                result.append(request)
         return result
 
-    def on_direct_answer(self, name: str, session: int, commands: list[Command]) -> None:
-        """The worker answered direct commands: they were executed or refused, none is delayed."""
-        machine = self.machines.get(name)
-        if machine is not None and machine.last_report_id[0] == session:
-            machine.unanswered_runs -= {(c.task, c.attempt) for c in commands}
+    def on_direct_answer(self, request: DirectRequest) -> None:
+        """The worker answered direct commands: they were carried out or refused. Copies of the
+        request may follow."""
+        machine = self.machines.get(request.machine)
+        if machine is not None and machine.last_report_id[0] == request.session:
+            machine.direct_runs.on_answered(request.attempts)
 
     def on_direct_timeout(self, name: str, now: float) -> None:
         """A worker that reported lately did not answer direct commands: messages may not reach
@@ -771,7 +834,7 @@
             and all(
                 (task := self.tasks[key]).phase == "placed"
                 and m.retiring
-                and (task.withdrawn or (key, task.attempt) in m.unanswered_runs)
+                and (task.withdrawn or m.direct_runs.is_unanswered((key, task.attempt)))
                 for key in m.tasks
             )
         )
--- a/ryegauge/protocol/workers.py
+++ b/ryegauge/protocol/workers.py
@@ -1,5 +1,6 @@
 """Workers' reports, and the commands in the answers to them."""
 
+from collections.abc import Sequence
 from typing import Any, Literal, NamedTuple
 
 import msgspec
@@ -103,8 +104,9 @@
 Command = Run | Kill | Forget
 
 
-def report_reply(token: int, commands: list[Command]) -> dict[str, Any]:
-    """Returns the body of the answer to a report: the owner's token and its commands."""
+def report_reply(token: int, commands: Sequence[Command]) -> dict[str, Any]:
+    """Returns the body of the answer to a report, or of direct commands: the token under which
+    they are given, and the commands."""
     orders: list[dict[str, Any]] = []
     for command in commands:
         order: dict[str, Any] = {"piece": task_name(command.task), "try": command.attempt}
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -114,7 +114,8 @@
     shard.report((3, service, "running"))
     shard.assign([0, 3])
     shard.tick()
-    ((_, _, _, (run,)),) = shard.owner.take_direct_runs(shard.now, 10)
+    (request,) = shard.owner.take_direct_runs(shard.now, 10)
+    (run,) = request.commands
     assert isinstance(run, Run)
     task = shard.owner.tasks[UID, 0]
     task.withdrawn = True  # only this one, as when it is evicted
@@ -154,7 +155,8 @@
     assert report(running) == []
     shard.assign([0])
     shard.tick()
-    ((_, _, _, (run,)),) = shard.owner.take_direct_runs(shard.now, 10)
+    (request,) = shard.owner.take_direct_runs(shard.now, 10)
+    (run,) = request.commands
     shard.cancel()
     assert run.task == (UID, 0)
     for _ in range(2):
@@ -209,13 +211,13 @@
         report(running)
         shard.assign([0])
         shard.tick()
-        ((name, _, session, commands),) = shard.owner.take_direct_runs(shard.now, 10)
+        (request,) = shard.owner.take_direct_runs(shard.now, 10)
         shard.cancel()
         kills = []
         for n in range(12):
             shard.now += 1.0
             if answered and n == 3:
-                shard.owner.on_direct_answer(name, session, commands)
+                shard.owner.on_direct_answer(request)
             kills.append(report(running))
         first_kill = next((n for n, commands in enumerate(kills) if commands), None)
         assert first_kill == (None if answered else 6)
--- a/tests/test_meetings.py
+++ b/tests/test_meetings.py
@@ -82,6 +82,10 @@
     await keep_for_a_while(world, world.late_reports(0.5))
 
 
+async def late_commands(world: Day) -> None:
+    await keep_for_a_while(world, world.late_commands(world.rng.choice([0.2, 0.6])))
+
+
 async def late_writes(world: Day) -> None:
     await keep_for_a_while(world, world.late_writes(world.rng.choice([0.1, 0.4])))
 
@@ -189,6 +193,7 @@
     cancel_at_end,
     odd_requests,
     close_looks,
+    late_commands,
 ]
 
 
@@ -203,13 +208,15 @@
 @pytest.mark.parametrize("seed", range(SEEDS))
 def test_rules_hold_under_overlapping_faults(tmp_path: Path, seed: int) -> None:
     async def script(world: Day) -> None:
-        await trio.sleep(30.0)
-        for selection in (seed, seed + 5, seed + 11):
-            async with trio.open_nursery() as nursery:
-                for fault in select_faults(selection):
-                    nursery.start_soon(fault, world)
-                    await trio.sleep(world.rng.uniform(0.0, 6.0))
-            await trio.sleep(10.0)
+        # Copies of direct commands, answered or late ones, arrive all along.
+        with world.command_copies(0.3):
+            await trio.sleep(30.0)
+            for selection in (seed, seed + 5, seed + 11):
+                async with trio.open_nursery() as nursery:
+                    for fault in select_faults(selection):
+                        nursery.start_soon(fault, world)
+                        await trio.sleep(world.rng.uniform(0.0, 6.0))
+                await trio.sleep(10.0)
 
     settings: list[Settings] = (
         rebuilding(tmp_path, 5)
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -17,6 +17,9 @@
     value_bytes,
 )
 from ryegauge.config import NextState, Settings
+from ryegauge.coordination import shard_owner
+from ryegauge.coordination.direct_runs import DirectRequest
+from ryegauge.coordination.membership import shard_key
 from ryegauge.coordination.shard_owner import ShardOwner
 from ryegauge.detection.failure_diagnosis import ProbeOutcome, ProbeResult
 from ryegauge.protocol.cloud import MachineType
@@ -57,6 +60,14 @@
         """Cancels the job in the replica."""
         self.put(job_key(UID), job_record(parse_job(job_body()), 0.0, True))
 
+    def hold_role(self) -> None:
+        """The replica shows the shard's role record under the owner's token, and a later
+        revision."""
+        self.revision = TOKEN - 1
+        self.put(shard_key(0), {"o": "node-0", "i": "first"})
+        self.revision += 1
+        self.replica.apply([], self.revision)
+
     def report(
         self,
         *tasks: tuple[int, int, str],
@@ -232,14 +243,14 @@
     shard.report()
     shard.assign([0])
     shard.tick()
-    ((name, _, _, _),) = shard.owner.take_direct_runs(shard.now, 10)
+    (request,) = shard.owner.take_direct_runs(shard.now, 10)
     shard.cancel()
     shard.report()
-    shown = shard.owner._machine_view(shard.owner.machines[name], shard.now)
+    shown = shard.owner._machine_view(shard.owner.machines[request.machine], shard.now)
     assert (shown.retiring, shown.empty) == (True, True)
     attempt = shard.owner.tasks[UID, 0].attempt
     assert shard.report((0, attempt, "running")) == [Kill((UID, 0), attempt, 0.0)]
-    assert not shard.owner._machine_view(shard.owner.machines[name], shard.now).empty
+    assert not shard.owner._machine_view(shard.owner.machines[request.machine], shard.now).empty
 
 
 def test_forget_waits_until_the_outcome_is_in_the_replica(shard: ShardHarness) -> None:
@@ -346,16 +357,16 @@
 
 
 def test_an_unanswered_direct_start_is_in_flight_for_the_session(shard: ShardHarness) -> None:
-    """Packets held up by a network cut can arrive minutes later. Until the session ends, reports
-    that do not list the attempt prove nothing, and a `forget` would let a late `run` start it
-    again."""
+    """Packets held up by a network cut can arrive minutes later. Until the session ends, or the
+    worker has seen a higher token, reports that do not list the attempt prove nothing, and a
+    `forget` would let a late `run`, or a copy of one that was answered, start it again."""
     shard.report()
     shard.assign([0])
     shard.tick()
     # Without a free connection the `run` waits for the next check-in.
     assert shard.owner.take_direct_runs(shard.now, 0) == []
-    ((name, _, session, commands),) = shard.owner.take_direct_runs(shard.now, 1)
-    attempt = commands[0].attempt
+    (request,) = shard.owner.take_direct_runs(shard.now, 1)
+    attempt = request.commands[0].attempt
     shard.cancel()
     shard.report()
     assert shard.pending() == {}
@@ -364,8 +375,99 @@
     assert shard.pending()[UID].tasks.flat() == []
     shard.assign([])
     assert shard.report((0, attempt, "ended"), why="stopped") == []
-    shard.owner.on_direct_answer(name, session, commands)
+    shard.owner.on_direct_answer(request)
+    assert shard.report((0, attempt, "ended"), why="stopped") == []
+    shard.hold_role()
     assert shard.report((0, attempt, "ended"), why="stopped") == [Forget((UID, 0), attempt)]
+    assert shard.owner.command_token("m-1") > request.token
+
+
+def start_directly(shard: ShardHarness, tasks: list[int]) -> DirectRequest:
+    """Assigns tasks and has them started by a direct command that is answered."""
+    shard.report()
+    shard.assign(tasks)
+    shard.tick()
+    (request,) = shard.owner.take_direct_runs(shard.now, 10)
+    shard.owner.on_direct_answer(request)
+    return request
+
+
+def test_a_superseded_owner_advances_no_token(shard: ShardHarness) -> None:
+    """Its replica shows the next owner's claim: a revision from then on could be above the next
+    owner's token, and the workers would drop that one's answers."""
+    request = start_directly(shard, [0])
+    ended = (0, request.commands[0].attempt, "ended")
+    shard.hold_role()
+    shard.put(shard_key(0), {"o": "node-1", "i": "next"})
+    assert shard.report(ended, why="stopped") == []
+    assert shard.owner.command_token("m-1") == TOKEN
+    assert shard.owner.is_superseded_by(shard.revision)
+
+
+def test_the_answer_that_forgets_has_a_higher_token_at_most_the_revision(
+    shard: ShardHarness,
+) -> None:
+    shard.hold_role()
+    request = start_directly(shard, [0])
+    assert request.token == TOKEN  # no higher one without need: it would be news to the worker
+    ended = (0, request.commands[0].attempt, "ended")
+    # The answer to a direct command has no answer that could carry a token.
+    shard.report(ended, why="stopped", checkin=False)
+    assert shard.owner.command_token("m-1") == TOKEN
+    (forget, *_) = shard.report(ended, why="stopped")
+    assert forget == Forget((UID, 0), request.commands[0].attempt)
+    assert shard.owner.command_token("m-1") == shard.revision
+    assert shard.owner.command_token("m-2") == TOKEN
+    assert not shard.owner.is_superseded_by(shard.revision)
+    assert shard.owner.is_superseded_by(shard.revision + 1)
+    # A worker that has been removed here meanwhile still has the token.
+    shard.owner.on_released(["m-1"])
+    assert not shard.owner.is_superseded_by(shard.revision)
+
+
+def test_an_attempt_that_the_next_owner_finds_is_forgotten_under_its_token(
+    settings: Settings,
+) -> None:
+    """It does not know how the attempt was started, and its token is above all that were used for
+    that."""
+    shard = ShardHarness(settings, [])
+    assert shard.report((0, 7, "ended"), why="stopped") == [Forget((UID, 0), 7)]
+
+
+def test_a_late_run_of_a_cancelled_job_is_refused_by_a_higher_token(shard: ShardHarness) -> None:
+    """Once the worker shows the token, a report without the attempt proves that it will not
+    start; the machine need not be returned for that."""
+    shard.hold_role()
+    shard.report()
+    shard.assign([0])
+    shard.tick()
+    (request,) = shard.owner.take_direct_runs(shard.now, 10)
+    shard.cancel()
+    assert shard.report() == []
+    token = shard.owner.command_token("m-1")
+    assert token > request.token
+    assert shard.phase(0) == "placed"
+    assert shard.report() == []  # the answer was lost
+    assert shard.phase(0) == "placed"
+    assert shard.report(token=token) == []
+    assert shard.phase(0) == "pending_removal"
+    assert not shard.owner.machines["m-1"].retiring
+
+
+def test_a_machine_that_keeps_many_ended_attempts_gets_runs_in_answers(
+    shard: ShardHarness, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Such attempts stay in its reports, whose size is limited."""
+    monkeypatch.setattr(shard_owner, "MAX_RETAINED_ATTEMPTS", 2)
+    request = start_directly(shard, [0, 1])
+    ended = [(run.task[1], run.attempt, "ended") for run in request.commands]
+    shard.report(*ended, why="stopped")
+    shard.tick()
+    assert shard.owner.take_direct_runs(shard.now, 10) == []
+    runs = shard.report(*ended, why="stopped")
+    assert [type(command) for command in runs] == [Run, Run]
+    shard.hold_role()
+    assert len(shard.report(*ended, why="stopped")) == 4  # forgotten, and started again
 
 
 def test_a_direct_answer_renews_no_lease(shard: ShardHarness) -> None:
--- a/tests/test_unreachable_machines.py
+++ b/tests/test_unreachable_machines.py
@@ -36,10 +36,10 @@
     shard.report()
     shard.assign([0])
     shard.tick(1.0)
-    ((name, _, session, commands),) = shard.owner.take_direct_runs(shard.now, 10)
-    (run,) = commands
+    (request,) = shard.owner.take_direct_runs(shard.now, 10)
+    (run,) = request.commands
     assert isinstance(run, Run)
-    shard.owner.on_direct_answer(name, session, commands)
+    shard.owner.on_direct_answer(request)
     for n in range(4):
         shard.report((0, run.attempt, "running"), checkin=False)
         shard.assign([0, *range(1, n)])
--- a/tests/test_world.py
+++ b/tests/test_world.py
@@ -309,10 +309,12 @@
                 with world.cut({worker.name}, hosts, hold):
                     await trio.sleep(duration_s)
 
-    async with trio.open_nursery() as nursery:
-        for _ in range(9):
-            await trio.sleep(rng.uniform(1.0, 18.0))
-            nursery.start_soon(inject_one)
+    # Copies of direct commands, answered or late ones, arrive all along.
+    with world.command_copies(0.3), world.late_commands(0.05):
+        async with trio.open_nursery() as nursery:
+            for _ in range(9):
+                await trio.sleep(rng.uniform(1.0, 18.0))
+                nursery.start_soon(inject_one)
 
 
 # A longer run with more seeds: RYEGAUGE_SEEDS=100 pytest tests/test_world.py
