Part command tokens, silence, faults and unrecorded attempts out of the shard owner

What is known of a report while it is processed goes along as one `_ReportProcessing` in place of seven arguments, and `on_report` and `_process_entry` are several functions of one job each. The emulated network schedules every late delivery in one place.

No change of behaviour is meant.

--- a/ryegauge/coordination/command_sender.py
+++ b/ryegauge/coordination/command_sender.py
@@ -73,7 +73,7 @@
             self._in_flight -= 1
         if self._context.owned.get(owner.shard) is owner:
             owner.on_direct_answer(request)
-            if not owner.is_superseded_by(report.token):
+            if not owner.tokens.is_superseded_by(report.token):
                 owner.on_report(report, trio.current_time(), checkin=False)
 
     def _worker_client(self, address: str) -> HttpClient:
--- a/ryegauge/coordination/node.py
+++ b/ryegauge/coordination/node.py
@@ -257,8 +257,8 @@
                     owner.on_view_answer(view.seq, orders.resync)
                     owner.on_released(orders.gone)
                     owner.retire(orders.retire)
-                    owner.on_unreported(orders.unreported)
-                    owner.on_failing_jobs(orders.failing_jobs)
+                    owner.silence.on_unreported(orders.unreported)
+                    owner.faults.on_failing_jobs(orders.failing_jobs)
                     for machine, uid, count in orders.evict:
                         owner.evict(machine, uid, count)
             # Well below the interval after which the leader considers a shard out of sight.
@@ -309,7 +309,7 @@
             for shard, owner in list(self._context.owned.items()):
                 if (
                     self._context.controller_lease.valid(now)
-                    and owner.is_unreachable(now)
+                    and owner.silence.is_owner_unreachable(now)
                     and self._context.controller_lease.on_workers_unreachable(shard, now)
                 ):
                     log.warning(
@@ -346,7 +346,7 @@
             return Reply(421, {})
         if not self._context.controller_lease.valid(now):
             return Reply(503, {"error": "no authority"})
-        if owner.is_superseded_by(report.token):
+        if owner.tokens.is_superseded_by(report.token):
             # The worker has seen a newer token, so it rejects this owner's commands.
             self._context.syncer.request_read()
             return Reply(421, {})
--- a/ryegauge/coordination/peer_messaging.py
+++ b/ryegauge/coordination/peer_messaging.py
@@ -316,7 +316,7 @@
                 now = trio.current_time()
                 for name, shard, ago_s in machines:
                     if (owner := self._context.owned.get(shard)) is not None:
-                        owner.on_heard_elsewhere(name, now - ago_s)
+                        owner.silence.on_heard_elsewhere(name, now - ago_s)
                 return Reply(200, ["ok"])
             case ProbeRequest(addresses=addresses) if self.on_probe is not None:
                 outcomes = await self.on_probe(addresses)
--- a/ryegauge/coordination/prober.py
+++ b/ryegauge/coordination/prober.py
@@ -59,7 +59,7 @@
                 if ProbeOutcome.ANSWERED in await self.probe_all(chosen):
                     self._context.controller_lease.on_workers_reachable(shard, now)
             for owner in list(self._context.owned.values()):
-                if silent := owner.to_probe(now)[: self._max_probes]:
+                if silent := owner.silence.to_probe(now)[: self._max_probes]:
                     await self._probe_machines(owner, silent, now)
 
     def remember_workers(self, shard: int, owner: ShardOwner) -> None:
@@ -93,7 +93,7 @@
         for by, outcomes in answers:
             for (machine, _), outcome in zip(silent, outcomes, strict=False):
                 if (probe := ProbeResult.of(by, outcome, now)) is not None:
-                    owner.on_probe_result(machine, probe)
+                    owner.silence.on_probe_result(machine, probe)
         log.debug("probed %d silent machines: %s", len(silent), answers)
 
     def _probing_peers(self) -> list[str]:
--- a/ryegauge/coordination/rebuild.py
+++ b/ryegauge/coordination/rebuild.py
@@ -165,16 +165,16 @@
                 return
             self._highest_reported_token = 0
         for owner in self._context.owned.values():
-            for (key, attempt), (seen_at, _, _) in list(owner.unrecorded.items()):
-                if self._context.syncer.last_read_sent_at <= seen_at:
+            for (key, attempt), unrecorded in list(owner.unrecorded.found.items()):
+                if self._context.syncer.last_read_sent_at <= unrecorded.seen_at:
                     self._context.syncer.request_read()
                 elif not owner.is_unrecorded(key):
-                    owner.unrecorded.pop((key, attempt), None)
+                    owner.unrecorded.found.pop((key, attempt), None)
                 elif key[0] not in self._context.replica.jobs and (
                     key[0] in self._context.replica.restored_outcomes
                     or await self._context.state.get(archive_key(key[0]), timeout_s=1.0) is not None
                 ):
-                    owner.clear_unrecorded(key, attempt)
+                    owner.unrecorded.clear((key, attempt))
                 else:
                     self.loss_detector.report_loss(
                         f"task {key[0]}/{key[1]} runs, but no assignment holds it"
@@ -442,7 +442,7 @@
         """Adds the unrecorded tasks of a shard to its assignments."""
         unrecorded = [
             UnrecordedTask(key[0], key[1], zone, done)
-            for (key, _), (_, zone, done) in owner.unrecorded.items()
+            for (key, _), (_, zone, done) in owner.unrecorded.found.items()
         ]
         writes = adoption_writes(
             self._context.replica, shard, self._context.settings.settings.nodes, unrecorded
--- a/ryegauge/coordination/shard_owner.py
+++ b/ryegauge/coordination/shard_owner.py
@@ -8,21 +8,23 @@
 import logging
 import math
 from collections.abc import Callable, Iterable
+from typing import NamedTuple
 
 import msgspec
 
-from ryegauge.bookkeeping.epochs import RECOVERED, RESTORING, epoch_of_token, fencing_token
+from ryegauge.bookkeeping.epochs import RECOVERED
 from ryegauge.bookkeeping.ranges import Ranges
 from ryegauge.bookkeeping.state_replica import StateReplica
 from ryegauge.config import Settings
 from ryegauge.coordination import assignment_updates
-from ryegauge.coordination.demands import make_demand, records_zones, task_sizes
+from ryegauge.coordination.command_tokens import CommandTokens
+from ryegauge.coordination.demands import make_demand, task_sizes
 from ryegauge.coordination.direct_runs import AttemptKey, DirectRequest
 from ryegauge.coordination.owner_records import Machine, Phase, Task
+from ryegauge.coordination.shard_faults import ShardFaults
+from ryegauge.coordination.shard_silence import ShardSilence
+from ryegauge.coordination.unrecorded_attempts import ATTEMPT_COUNTER_BITS, UnrecordedAttempts
 from ryegauge.coordination.view_publisher import MachineSignature, ViewPublisher
-from ryegauge.detection.failure_diagnosis import SUSPECT_GAPS, ProbeResult
-from ryegauge.detection.fault_attribution import FaultAttribution
-from ryegauge.detection.last_heard import LastHeard, StallDetector, owner_unreachable
 from ryegauge.protocol.cloud import MachineType
 from ryegauge.protocol.peers import MachineView, RunSample, ShardView
 from ryegauge.protocol.workers import (
@@ -46,8 +48,6 @@
 # its next tasks are started in answers alone: such attempts stay in its reports, whose size is
 # limited.
 MAX_RETAINED_ATTEMPTS = 64
-# Longest pause, in leases, before a task that keeps failing is retried.
-MAX_RETRY_PAUSE_LEASES = 4.0
 
 
 def _group_of(key: TaskKey) -> tuple[str, list[TaskKey]]:
@@ -55,6 +55,16 @@
     return key[0], [key]
 
 
+class _ReportProcessing(NamedTuple):
+    """A report while it is processed, and the commands for its answer so far. Those for a
+    report that is no check-in are dropped."""
+
+    machine: Machine
+    now: float
+    checkin: bool
+    commands: list[Command]
+
+
 class ShardOwner:
     """Places a shard's tasks on its machines and follows them until their outcome is recorded.
 
@@ -78,8 +88,7 @@
         report and no assignment holds, since the state service may have lost its record."""
         self.shard = shard
         self.token = token
-        self._highest_token = token  # given to any worker
-        self._created_at = now
+        self.tokens = CommandTokens(shard, token, replica)
         self._replica = replica
         self._settings = settings
         self._types = types
@@ -89,24 +98,16 @@
         self._authority_ended_at = authority_ended_at
         self._barrier_at = max(now, authority_ended_at) + self.lease_s
         # While data that the state service lost is being restored, nothing is placed, and
-        # attempts that no assignment holds may be adopted:
-        # (task, attempt) -> (seen at, zone, whether it has ended as done).
+        # attempts that no assignment holds may be adopted.
         self._rebuilding = self._stage != RECOVERED
-        self._detects_unrecorded = detects_unrecorded
-        self.unrecorded: dict[tuple[TaskKey, int], tuple[float, str, bool]] = {}
-        self._cleared: set[tuple[TaskKey, int]] = set()
+        self.unrecorded = UnrecordedAttempts(token, replica, detects_unrecorded)
         self.machines: dict[str, Machine] = {}
-        # Machines of this shard that have never reported here or were removed:
-        # name -> (address, results of probing them).
-        self._unreported: dict[str, tuple[str, list[ProbeResult]]] = {}
-        # Machine of this shard -> when another controller last got a report of it.
-        self._heard_elsewhere_at: dict[str, float] = {}
-        self._last_heard = LastHeard(StallDetector(settings.settings.workers.report_s, now))
+        self.silence = ShardSilence(self.machines, settings, now)
         # Removed machines: reports up to this (session, sequence number) are late.
         self._ignored_up_to: dict[str, tuple[float, float]] = {}
         self.tasks: dict[TaskKey, Task] = {}
         self._tasks_by_job: dict[str, set[TaskKey]] = {}
-        self._last_attempt = token << 20
+        self._last_attempt = token << ATTEMPT_COUNTER_BITS
         self._unplaced: set[TaskKey] = set()
         self._unseen: set[TaskKey] = set()
         self.pending_removal: set[TaskKey] = set()
@@ -117,10 +118,7 @@
         # each of those would take most of the controller's time.
         self.revision = 0
         self._view_publisher = ViewPublisher()
-        self._faults = FaultAttribution(self._has_done_tasks)
-        self._faulty: set[str] = set()  # machines that are to be released
-        self._suspected: set[str] = set()  # machines that get no new tasks for now
-        self._faults_pruned_at = now
+        self.faults = ShardFaults(replica, settings, self.machines, now, self._on_change)
         for uid in list(replica.live):
             self._reconcile(uid, "unseen")
 
@@ -216,8 +214,7 @@
     def _record_success(self, task: Task, machine: Machine, now: float) -> None:
         """The task succeeded; its run time becomes a sample for the estimates."""
         machine.tasks.discard(task.key)
-        if self._faults.record_success(task.key[0], machine.name):
-            self._update_machine_faults()
+        self.faults.on_success(task.key[0], machine.name)
         job = self._replica.jobs.get(task.key[0])
         if job is not None and task.running_since is not None and job.spec.estimate_s > 0:
             run_s = max(0.1, now - task.running_since)
@@ -227,39 +224,9 @@
         task.machine = None
         self._mark_for_removal(task, done=True)
 
-    def _record_failure(self, task: Task, machine: Machine, now: float) -> None:
-        """A task failed, by its own fault or its machine's. It is retried after growing pauses,
-        on the same machine too. Without the pause, in a shard with a single machine, a task that
-        fails everywhere was retried there every second and never seen to fail elsewhere."""
-        task.failed_on.add(machine.name)
-        task.failures += 1
-        self._faults.record_failure(task.key[0], machine.name, len(task.failed_on))
-        self._update_machine_faults()
-        workers = self._settings.settings.workers
-        max_pause_s = MAX_RETRY_PAUSE_LEASES * workers.lease_s
-        pause_s = workers.report_s * 2.0 ** min(task.failures, 30) - workers.report_s
-        task.not_before = now + min(max_pause_s, pause_s)
-
-    def _has_done_tasks(self, uid: str) -> bool:
-        """Whether any task of the job has succeeded, according to the replica."""
-        job = self._replica.jobs.get(uid)
-        return job is not None and job.done_count > 0
-
-    def _update_machine_faults(self) -> None:
-        """Updates which machines are faulty or suspected."""
-        faulty, suspected = self._faults.classify_machines(len(self.machines))
-        if (faulty, suspected) != (self._faulty, self._suspected):
-            if new := faulty - self._faulty:
-                log.info("faulty machines, to be given up: %s", ", ".join(sorted(new)))
-            if new := suspected - self._suspected:
-                log.info("suspected machines, no new tasks for now: %s", ", ".join(sorted(new)))
-            self._faulty, self._suspected = faulty, suspected
-            self.revision += 1
-
-    def on_failing_jobs(self, uids: Iterable[str]) -> None:
-        """The newest failing jobs that the owners of any shards have reported to the leader."""
-        if self._faults.set_failing_elsewhere(frozenset(uids)):
-            self._update_machine_faults()
+    def _on_change(self) -> None:
+        """Something has changed that a full pass has to take up."""
+        self.revision += 1
 
     def _return_unstarted(self, uid: str) -> None:
         """Returns the unstarted tasks of a job that fails on every machine to the leader, which
@@ -272,40 +239,11 @@
             if task.phase == "unplaced":
                 self._mark_for_removal(task, done=False)
 
-    # -- tokens of commands ----------------------------------------------------------
-
     def command_token(self, machine: str) -> int:
         """The token that the next message to the machine's worker has to carry."""
         known = self.machines.get(machine)
         return self.token if known is None else known.token
 
-    def is_superseded_by(self, token: int) -> bool:
-        """Whether a worker that has seen `token` has been answered by a later owner: every token
-        of a later owner is higher than all that this one gives to workers."""
-        return token > self._highest_token
-
-    def _advance_token(self, machine: Machine) -> None:
-        """Has the worker refuse all direct commands sent to it so far, from the answer to its
-        present check-in on, if the state service's revision allows a higher token.
-
-        Any revision at which the replica shows this owner's role serves as a token: the claim of
-        the next owner comes after it, so its token is higher."""
-        holder = self._replica.shards.get(self.shard)
-        if holder is None or holder.token != self.token:
-            return
-        newest = fencing_token(self._replica.epoch, self._replica.state_revision)
-        if newest > machine.token:
-            log.debug("%s: token %d after %d", machine.name, newest, machine.token)
-            machine.token = newest
-            self._highest_token = max(self._highest_token, newest)
-
-    def _is_refused_from_now_on(self, machine: Machine, attempt: AttemptKey) -> bool:
-        """Whether a worker that takes the answer to its present check-in refuses every direct
-        `run` of the attempt from then on; advances the token for that if necessary."""
-        if machine.direct_runs.may_start(attempt, machine.token):
-            self._advance_token(machine)
-        return not machine.direct_runs.may_start(attempt, machine.token)
-
     # -- reports --------------------------------------------------------------------
 
     def on_report(self, report: Report, now: float, checkin: bool = True) -> list[Command]:
@@ -323,26 +261,43 @@
             return []
         if machine is None:
             machine = self.machines[report.machine] = Machine(report, now)
-        machine.token = max(machine.token, report.token, self.token)
+        self.tokens.on_report(machine, report.token)
         if checkin:
             if report_id <= machine.last_checkin_id:
                 # A late duplicate: the worker has sent a newer report since and waits for no
                 # answer to this one, so no lease is renewed. It must not update `heard_at`:
                 # duplicates from dead machines would keep their tasks from starting elsewhere.
                 return []
-            # The answer to any other report may renew the lease, so the report counts as heard.
-            machine.last_checkin_id = report_id
-            if now - machine.heard_at > 2 * self._settings.report_gap_s:
-                machine.heard_steadily_since = now
-            machine.heard_at = now
-            machine.probes.clear()
-            self._last_heard.on_report(machine.name, now)
+            self._record_heard(machine, report_id, now)
         if report.token < self.token:
             # Sent before the worker saw this token: an earlier owner may still have given it
             # commands. The answer shows it the token.
             return self._kill_cancelled(report)
         if machine.token_confirmed and report_id <= machine.last_report_id:
             return self._kill_cancelled(report)
+        processing = _ReportProcessing(machine, now, checkin, [])
+        self._process_report(processing, report)
+        self._add_starts(processing)
+        if machine.tasks or machine.alive_attempts:
+            machine.idle_since = now
+        if processing.commands:
+            self.revision += 1
+        for command in processing.commands:
+            log.debug("%s: answer under token %d: %s", machine.name, machine.token, command)
+        return processing.commands
+
+    def _record_heard(self, machine: Machine, report_id: tuple[int, int], now: float) -> None:
+        """A check-in that is newer than the ones before has arrived. Its answer may renew the
+        worker's lease."""
+        machine.last_checkin_id = report_id
+        if now - machine.heard_at > 2 * self._settings.report_gap_s:
+            machine.heard_steadily_since = now
+        machine.heard_at = now
+        self.silence.on_report(machine, now)
+
+    def _process_report(self, processing: _ReportProcessing, report: Report) -> None:
+        """Takes in a report that is newer than the ones before and carries this owner's token."""
+        machine, now = processing.machine, processing.now
         first_report = not machine.token_confirmed
         new_session = machine.token_confirmed and report.session != machine.last_report_id[0]
         if new_session:
@@ -352,40 +307,44 @@
                 # it. Once a session lasts longer than a lease, they do again.
                 machine.unreachable_until = now + self.lease_s + self._settings.report_gap_s
         machine.direct_runs.on_token_shown(report.token)
-        if checkin:
+        if processing.checkin:
             machine.retained_attempts = 0
-        machine.last_report_id = report_id
+        machine.last_report_id = (report.session, report.seq)
         machine.token_confirmed = True
         machine.address = report.addr or machine.address
         noticed = machine.notice_at is None and report.notice_s is not None
         machine.notice_at = None if report.notice_s is None else now + report.notice_s
         reported = {(task_key(t.task), t.attempt): t for t in report.tasks}
-        self._process_unlisted(machine, reported, new_session, checkin)
+        self._process_unlisted(processing, reported, new_session)
         alive_attempts = {k: t for k, t in reported.items() if t.state != "ended"}
         if first_report or noticed or new_session or alive_attempts != machine.alive_attempts:
             self.revision += 1
         machine.alive_attempts = alive_attempts
-        commands: list[Command] = []
         try:
-            for (key, attempt), entry in reported.items():
-                self._process_entry(machine, key, attempt, entry, now, commands, checkin)
+            for (key, _), entry in reported.items():
+                self._process_entry(processing, key, entry)
         except Exception:
             # An internal error: the report was processed only partially, so the machine must not
             # count as having reported. Otherwise unseen tasks that the report lists would be
             # started elsewhere.
             machine.token_confirmed = False
             raise
+
+    def _add_starts(self, processing: _ReportProcessing) -> None:
+        """Adds `run` for the machine's tasks that it has not reported yet."""
+        machine = processing.machine
         for key in sorted(machine.tasks):
             task = self.tasks[key]
             if task.phase != "placed":
                 continue
+            attempt = (key, task.attempt)
             if not task.withdrawn and not machine.retiring:
                 task.run_sent = True
-                commands.append(Run(key, task.attempt))
+                processing.commands.append(Run(key, task.attempt))
             elif (
-                checkin
-                and machine.direct_runs.is_unanswered((key, task.attempt))
-                and not self._is_refused_from_now_on(machine, (key, task.attempt))
+                processing.checkin
+                and machine.direct_runs.is_unanswered(attempt)
+                and not self.tokens.refuses_from_now_on(machine, attempt)
                 and not self._replica.is_cancelled(key[0])
             ):
                 # No longer wanted, but its direct `run` got no answer and may still arrive, and
@@ -396,14 +355,8 @@
                 # run; next to a service neither comes, and the task would count against its team
                 # for good. Never for a cancelled job: nothing of it may be started, not even to
                 # be killed.
-                commands += [Run(key, task.attempt), Kill(key, task.attempt, 0.0)]
-        if machine.tasks or machine.alive_attempts:
-            machine.idle_since = now
-        if commands:
-            self.revision += 1
-        for command in commands:
-            log.debug("%s: answer under token %d: %s", machine.name, machine.token, command)
-        return commands
+                processing.commands.append(Run(key, task.attempt))
+                processing.commands.append(Kill(key, task.attempt, 0.0))
 
     def _kill_cancelled(self, report: Report) -> list[Command]:
         """The commands for a report that is not processed otherwise. Its answer renews the
@@ -419,10 +372,9 @@
 
     def _process_unlisted(
         self,
-        machine: Machine,
-        reported: dict[tuple[TaskKey, int], TaskReport],
+        processing: _ReportProcessing,
+        reported: dict[AttemptKey, TaskReport],
         new_session: bool,
-        checkin: bool,
     ) -> None:
         """Handles the machine's tasks that the report does not list.
 
@@ -431,20 +383,19 @@
         than the answer that carried the `run`. This does not hold for a direct command that was
         neither answered nor refused; nor does the answer to a direct command prove it for
         check-ins."""
+        machine, checkin = processing.machine, processing.checkin
         stuck = False
         for key in list(machine.tasks):
             task = self.tasks[key]
-            if (key, task.attempt) in reported:
+            attempt = (key, task.attempt)
+            if attempt in reported:
                 continue
-            unanswered = machine.direct_runs.is_unanswered((key, task.attempt))
-            unsure = not checkin or unanswered
+            unsure = not checkin or machine.direct_runs.is_unanswered(attempt)
             not_wanted = task.withdrawn or machine.retiring
             if task.phase == "seen" or new_session or (not_wanted and not unsure):
                 self._end_attempt(task)
             elif (
-                task.withdrawn
-                and checkin
-                and not self._is_refused_from_now_on(machine, (key, task.attempt))
+                task.withdrawn and checkin and not self.tokens.refuses_from_now_on(machine, attempt)
             ):
                 # Only the machine's return ensures that the task does not start.
                 machine.retiring = True
@@ -455,16 +406,10 @@
             )
 
     def _process_entry(
-        self,
-        machine: Machine,
-        key: TaskKey,
-        attempt: int,
-        entry: TaskReport,
-        now: float,
-        commands: list[Command],
-        checkin: bool,
+        self, processing: _ReportProcessing, key: TaskKey, entry: TaskReport
     ) -> None:
-        """Processes one task entry of a report; appends the commands that follow from it."""
+        """Processes one task entry of a report; adds the commands that follow from it."""
+        machine, attempt = processing.machine, entry.attempt
         task = self.tasks.get(key)
         if (
             task is not None
@@ -485,35 +430,10 @@
         if entry.state == "ended":
             if entry.why != "done":
                 log.info("%s: %s/%d attempt %d ended: %s", machine.name, *key, attempt, entry.why)
-            if task is None:
-                # The assignment no longer holds it: its outcome is recorded, unless the state
-                # service lost the record.
-                if not self._check_unrecorded(machine, key, entry, now) and checkin:
-                    self._forget(machine, key, attempt, commands)
-            elif is_current and entry.why == "done":
-                self._record_success(task, machine, now)
-            elif is_current:
-                task_failed = entry.why == "error" and not task.withdrawn
-                if task_failed:
-                    self._record_failure(task, machine, now)
-                if entry.why == "unknown":
-                    task.not_before = now + self._settings.settings.workers.report_s
-                self._end_attempt(task)
-                if task_failed and self._faults.is_failing(key[0]):
-                    self._return_unstarted(key[0])
-                if checkin:
-                    self._forget(machine, key, attempt, commands)
-            elif entry.why == "done":
-                if task.phase == "unplaced":
-                    self._mark_for_removal(task, done=True)
-                # The worker keeps the attempt until the outcome is recorded and the assignment
-                # no longer holds the task.
-            elif checkin:
-                self._forget(machine, key, attempt, commands)
-            return
-        if task is None and self._check_unrecorded(machine, key, entry, now):
-            return
-        if task is None or not is_current:
+            self._process_ended(processing, key, entry, task, is_current)
+        elif task is not None and is_current:
+            self._process_alive(processing, entry, task)
+        elif task is not None or not self._check_unrecorded(processing, key, entry):
             log.info(
                 "%s: %s/%d attempt %d is %s, but the task's attempt is %s: killed",
                 machine.name,
@@ -522,8 +442,50 @@
                 entry.state,
                 "not held here" if task is None else f"{task.attempt} on {task.machine}",
             )
-            commands.append(Kill(key, attempt, 0.0))
-            return
+            processing.commands.append(Kill(key, attempt, 0.0))
+
+    def _process_ended(
+        self,
+        processing: _ReportProcessing,
+        key: TaskKey,
+        entry: TaskReport,
+        task: Task | None,
+        is_current: bool,
+    ) -> None:
+        """Processes an attempt that has ended. `is_current`: it is the task's present one."""
+        if task is None:
+            # The assignment no longer holds it: its outcome is recorded, unless the state
+            # service lost the record.
+            if not self._check_unrecorded(processing, key, entry):
+                self._forget(processing, key, entry.attempt)
+        elif entry.why == "done":
+            # The worker keeps the attempt until the outcome is recorded and the assignment no
+            # longer holds the task.
+            if is_current:
+                self._record_success(task, processing.machine, processing.now)
+            elif task.phase == "unplaced":
+                self._mark_for_removal(task, done=True)
+        else:
+            if is_current:
+                self._record_end_without_success(processing, entry, task)
+            self._forget(processing, key, entry.attempt)
+
+    def _record_end_without_success(
+        self, processing: _ReportProcessing, entry: TaskReport, task: Task
+    ) -> None:
+        """The task's present attempt failed, was stopped or was refused."""
+        task_failed = entry.why == "error" and not task.withdrawn
+        if task_failed:
+            self.faults.on_failure(task, processing.machine.name, processing.now)
+        if entry.why == "unknown":
+            task.not_before = processing.now + self._settings.settings.workers.report_s
+        self._end_attempt(task)
+        if task_failed and self.faults.is_failing(task.key[0]):
+            self._return_unstarted(task.key[0])
+
+    def _process_alive(self, processing: _ReportProcessing, entry: TaskReport, task: Task) -> None:
+        """Processes the task's present attempt, which lives."""
+        machine, now, key = processing.machine, processing.now, task.key
         task.phase = "seen"
         job = self._replica.jobs.get(key[0])
         if job is not None:
@@ -544,59 +506,26 @@
             # after `cancel_s` would break the guarantee, and what it holds counts against its
             # team.
             task.relocating = True
-        if task.relocating and not task.withdrawn:
-            commands.append(Kill(key, attempt, 0.0))
-        if task.withdrawn:
-            commands.append(Kill(key, attempt, 0.0))
+        if task.relocating or task.withdrawn:
+            processing.commands.append(Kill(key, entry.attempt, 0.0))
 
-    def _forget(
-        self, machine: Machine, key: TaskKey, attempt: int, commands: list[Command]
-    ) -> None:
+    def _forget(self, processing: _ReportProcessing, key: TaskKey, attempt: int) -> None:
         """Has the worker forget an ended attempt, in the answer to a check-in, unless a late copy
         of the attempt's direct `run` would start it again: the worker then keeps the attempt,
         and such a copy has no effect, until there is a higher token."""
-        if self._is_refused_from_now_on(machine, (key, attempt)):
-            commands.append(Forget(key, attempt))
+        if not processing.checkin:
+            return
+        if self.tokens.refuses_from_now_on(processing.machine, (key, attempt)):
+            processing.commands.append(Forget(key, attempt))
         else:
-            machine.retained_attempts += 1
+            processing.machine.retained_attempts += 1
 
     def _check_unrecorded(
-        self, machine: Machine, key: TaskKey, entry: TaskReport, now: float
+        self, processing: _ReportProcessing, key: TaskKey, entry: TaskReport
     ) -> bool:
-        """Whether an attempt that no assignment to this shard holds may belong to a record that
-        the state service lost; if so, it is collected. Without a loss there are none: an
-        assignment holds a task until its attempt has certainly ended."""
-        if not self._detects_unrecorded:
-            return False
-        job = self._replica.jobs.get(key[0])
-        open_ = job is not None and job.is_open(key[1])
-        attempt = entry.attempt
-        if self._rebuilding:
-            if self._stage == RESTORING:
-                return True
-            is_unrecorded = open_
-        else:
-            # Only attempts started by an earlier owner in this epoch: those of earlier epochs could
-            # be adopted in the grace period. An attempt that has ended proves nothing: once
-            # returned, its task is open in the replica until the worker has processed `forget`.
-            # Counting those made a task that was preempted after a takeover look like data loss in
-            # a healthy state service.
-            token = attempt >> 20
-            earlier = token != self.token and epoch_of_token(token) == epoch_of_token(self.token)
-            known = (key, attempt) in self._cleared
-            ended = entry.state == "ended"
-            is_unrecorded = earlier and not ended and not known and (open_ or job is None)
-        if is_unrecorded:
-            zone = machine.zone if job is not None and records_zones(job.spec) else ""
-            seen_at = self.unrecorded[key, attempt][0] if (key, attempt) in self.unrecorded else now
-            self.unrecorded[key, attempt] = (seen_at, zone, entry.why == "done")
-        return is_unrecorded
-
-    def clear_unrecorded(self, key: TaskKey, attempt: int) -> None:
-        """The attempt's record was not lost: from now on the attempt is killed, like every other
-        that no assignment holds."""
-        self.unrecorded.pop((key, attempt), None)
-        self._cleared.add((key, attempt))
+        """See `UnrecordedAttempts.check`."""
+        zone = processing.machine.zone
+        return self.unrecorded.check(key, entry, zone, processing.now, self._rebuilding)
 
     def is_unrecorded(self, key: TaskKey) -> bool:
         """Whether, according to the current replica, the task is still unfinished and held by no
@@ -654,69 +583,6 @@
                 machine.unreachable_until, now + 2 * self._settings.report_gap_s
             )
 
-    # -- silence ------------------------------------------------------------------------
-
-    def on_heard_elsewhere(self, name: str, at: float) -> None:
-        """Another controller got a report of a machine of this shard, at `at`."""
-        self._heard_elsewhere_at.pop(name, None)
-        self._heard_elsewhere_at[name] = at
-        if len(self._heard_elsewhere_at) > MAX_REMEMBERED_MACHINES:
-            del self._heard_elsewhere_at[next(iter(self._heard_elsewhere_at))]
-
-    def is_unreachable(self, now: float) -> bool:
-        """Whether reports of this shard's machines reach other controllers and not this one,
-        although this one did not stall."""
-        gap_s = self._settings.report_gap_s
-        if not self._heard_elsewhere_at or self._last_heard.stall_detector.stalled_s(
-            now - 3 * gap_s
-        ):
-            return False
-        if now < self._created_at + gap_s:
-            # Machines that others heard are just being redirected here, or reported before this
-            # owner existed. Without this wait, owners half a second old gave up shards whose
-            # reports did reach them, and the unseen tasks there waited for another barrier.
-            return False
-        heard_at = {m.name: m.heard_at for m in self.machines.values()}
-        return owner_unreachable(heard_at, self._heard_elsewhere_at, gap_s, now)
-
-    def on_unreported(self, machines: Iterable[tuple[str, str]]) -> None:
-        """Machines of this shard that the cloud lists as running and this owner has not shown to
-        the leader, as (name, address). They are probed."""
-        known = self._unreported
-        self._unreported = {
-            name: (address, known[name][1] if name in known else [])
-            for name, address in machines
-            if address and name not in self.machines
-        }
-
-    def to_probe(self, now: float) -> list[tuple[str, str]]:
-        """(machine, address) of the silent machines to probe, the longest silent first: those
-        without a probe result from the last report interval."""
-        gap_s = self._settings.report_gap_s
-        silent = [
-            (m.heard_at, m.name, m.address, m.probes)
-            for m in self.machines.values()
-            if m.address and self._last_heard.silent_s(m.name, now) > SUSPECT_GAPS * gap_s
-        ]
-        silent += [(now, name, *entry) for name, entry in self._unreported.items()]
-        silent.sort(key=lambda entry: entry[:2])
-        return [
-            (name, address)
-            for _, name, address, probes in silent
-            if all(now - p.at > gap_s for p in probes)
-        ]
-
-    def on_probe_result(self, name: str, probe: ProbeResult) -> None:
-        """Keeps a probe result, the latest of each controller that probed. It is dropped if the
-        machine has reported since."""
-        machine = self.machines.get(name)
-        if machine is None:
-            if name in self._unreported:
-                address, probes = self._unreported[name]
-                self._unreported[name] = address, [*(p for p in probes if p.by != probe.by), probe]
-        elif machine.heard_at < probe.at:
-            machine.probes = [*(p for p in machine.probes if p.by != probe.by), probe]
-
     # -- time ---------------------------------------------------------------------------
 
     def on_released(self, names: Iterable[str]) -> None:
@@ -724,7 +590,7 @@
         for name in names:
             machine = self.machines.pop(name, None)
             if machine is not None:
-                self._last_heard.forget(name)
+                self.silence.on_removed(name)
                 self._ignore_reports(name, (math.inf, math.inf))
                 for key in list(machine.tasks):
                     self._end_attempt(self.tasks[key])
@@ -759,17 +625,14 @@
     def tick(self, now: float, wall: float) -> None:
         """Handles expired leases and the barrier, then places unplaced tasks. `wall` is the
         wall-clock time."""
-        self._last_heard.stall_detector.advance(now)
-        if now - self._faults_pruned_at > self._settings.settings.workers.lease_s:
-            self._faults_pruned_at = now
-            self._faults.keep(self._replica.live, self.machines)
-            self._update_machine_faults()
+        self.silence.advance(now)
+        self.faults.prune(now)
         for machine in list(self.machines.values()):
             if now > machine.heard_at + self.lease_s:
                 # Its lease has expired: the worker has killed everything and begins a new session.
                 for key in list(machine.tasks):
                     self._end_attempt(self.tasks[key])
-                self._last_heard.forget(machine.name)
+                self.silence.on_removed(machine.name)
                 self._ignore_reports(machine.name, (self._last_ended_session(machine), math.inf))
                 del self.machines[machine.name]
         if self._rebuilding:
@@ -778,7 +641,7 @@
             # From now on attempts that no assignment holds are killed, so the barrier starts here.
             self._rebuilding = False
             self._barrier_at = max(now, self._authority_ended_at) + self.lease_s
-            self.unrecorded.clear()
+            self.unrecorded.on_recovered()
         # A machine that was answered and has not reported under this token yet had its lease
         # renewed, and with it whatever runs there.
         if self._unseen and now > self._barrier_at + self.lease_s:
@@ -874,8 +737,8 @@
             machine.token_confirmed
             and not machine.retiring
             and machine.notice_at is None
-            and machine.name not in self._faulty
-            and machine.name not in self._suspected
+            and machine.name not in self.faults.faulty
+            and machine.name not in self.faults.suspected
             and now >= machine.unreachable_until
             and silent < 2 * self._settings.report_gap_s
         )
@@ -963,27 +826,10 @@
             gone,
             list(pending_removal.items()),
             list(foreign_reports),
-            self._silences(machines, now),
-            list(self._faults.failing_jobs()),
+            self.silence.evidence(machines, now),
+            list(self.faults.failing_jobs()),
         )
 
-    def _silences(
-        self, shown: Iterable[MachineView], now: float
-    ) -> list[tuple[str, float, list[tuple[str, str, float]]]]:
-        """The evidence on silent machines, in the form of `ShardView.silences`."""
-        stalled_s = self._last_heard.stall_detector.stalled_s
-        silent = [
-            self.machines[view.name]
-            for view in shown
-            if view.silent_s > SUSPECT_GAPS * self._settings.report_gap_s
-        ]
-        result = [(m.name, stalled_s(m.heard_at), m.probes) for m in silent]
-        result += [(name, 0.0, probes) for name, (_, probes) in self._unreported.items() if probes]
-        return [
-            (name, stall_s, [(p.by, p.outcome, now - p.at) for p in probes])
-            for name, stall_s, probes in result
-        ]
-
     def on_view_answer(self, seq: int, resync: bool) -> None:
         """The leader answered view number `seq`; with `resync` it needs all machines again."""
         self._view_publisher.on_answer(seq, resync)
@@ -1006,7 +852,7 @@
             empty=self._is_empty(m),
             silent_s=now - m.heard_at,
             notice=m.notice_at is not None,
-            retiring=m.retiring or m.name in self._faulty,
+            retiring=m.retiring or m.name in self.faults.faulty,
             images=list(m.images),
             tasks=tasks,
         )
@@ -1020,7 +866,7 @@
             m.token_confirmed,
             self._takes_tasks(m, now),
             m.notice_at is not None,
-            m.retiring or m.name in self._faulty,
+            m.retiring or m.name in self.faults.faulty,
             silent if silent > 2 * self._settings.report_gap_s else 0.0,
             running,
             frozenset(self._occupants(m)),
--- a/ryegauge/emulator/network.py
+++ b/ryegauge/emulator/network.py
@@ -137,39 +137,21 @@
             and self.may_write_late(body)
             and self._draw(self.late_writes)
         ):
-            self.nursery.start_soon(
-                self._deliver_later, address, method, target, payload, *self.late_write_delay_s
-            )
+            self._schedule(address, method, target, payload, *self.late_write_delay_s)
             await trio.sleep(timeout_s)
             raise ResponseTimeout("no answer")
+        request = (address, method, target, payload)
         if self.late_reports and target == "/checkin" and self._draw(self.late_reports):
-            self.nursery.start_soon(
-                self._deliver_later,
-                address,
-                method,
-                target,
-                payload,
-                MIN_COPY_DELAY_S,
-                self.max_copy_delay_s,
-            )
+            self._schedule(*request, MIN_COPY_DELAY_S, self.max_copy_delay_s)
         if target == COMMANDS_PATH:
             late = bool(self.late_commands) and self._draw(self.late_commands)
             copied = bool(self.command_copies) and self._draw(self.command_copies)
             delay_s = self._rng.uniform(*LATE_COMMAND_DELAY_S) if late else 0.0
             if copied:
-                self.nursery.start_soon(
-                    self._deliver_later,
-                    address,
-                    method,
-                    target,
-                    payload,
-                    delay_s + MIN_COPY_DELAY_S,
-                    delay_s + self.max_command_copy_delay_s,
-                )
+                min_delay_s = delay_s + MIN_COPY_DELAY_S
+                self._schedule(*request, min_delay_s, delay_s + self.max_command_copy_delay_s)
             if late:
-                self.nursery.start_soon(
-                    self._deliver_later, address, method, target, payload, delay_s, delay_s
-                )
+                self._schedule(*request, delay_s, delay_s)
                 await trio.sleep(timeout_s)
                 raise ResponseTimeout("no answer")
         if self.kept_reports and target == "/checkin" and self._draw(self.kept_reports):
@@ -223,8 +205,22 @@
         for messages in kept.values():
             for message in messages:
                 for address in addresses:
-                    assert self.nursery is not None
-                    self.nursery.start_soon(self._deliver_later, address, *message, 0.0, within_s)
+                    self._schedule(address, *message, 0.0, within_s)
+
+    def _schedule(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        payload: bytes,
+        min_delay_s: float,
+        max_delay_s: float,
+    ) -> None:
+        """Has a request delivered after a delay drawn from these bounds; its answer goes
+        nowhere."""
+        assert self.nursery is not None
+        delay_s = (min_delay_s, max_delay_s)
+        self.nursery.start_soon(self._deliver_later, address, method, target, payload, *delay_s)
 
     async def _deliver_later(
         self,
--- a/tests/test_command_model.py
+++ b/tests/test_command_model.py
@@ -26,6 +26,7 @@
     job_record,
 )
 from ryegauge.config import Settings
+from ryegauge.coordination.command_tokens import CommandTokens
 from ryegauge.coordination.direct_runs import AttemptKey, DirectRequest, DirectRuns
 from ryegauge.coordination.membership import shard_key
 from ryegauge.coordination.shard_owner import ShardOwner
@@ -122,7 +123,7 @@
                 report = self._deliver(index)
                 if report is not None:
                     self.owner.on_direct_answer(self.requests[index])
-                if report is not None and not self.owner.is_superseded_by(report.token):
+                if report is not None and not self.owner.tokens.is_superseded_by(report.token):
                     self.owner.on_report(report, self.now, checkin=False)
             case "check in":
                 self._check_in(index)
@@ -208,7 +209,7 @@
     def _check_in(self, index: int) -> None:
         self.answers.pop(index, None)  # the worker has given up waiting for it
         report = self.workers[index].report()
-        if self.owner.is_superseded_by(report.token):
+        if self.owner.tokens.is_superseded_by(report.token):
             return
         commands = self.owner.on_report(report, self.now)
         self.answers[index] = self.owner.command_token(report.machine), commands
@@ -372,9 +373,9 @@
     "an equal token refuses": (DirectRuns, "on_token_shown", refuse_equal_tokens),
     "an unanswered request is settled": (DirectRuns, "is_unanswered", lambda runs, attempt: False),
     "forget under the same token": (
-        ShardOwner,
-        "_is_refused_from_now_on",
-        lambda owner, machine, attempt: True,
+        CommandTokens,
+        "refuses_from_now_on",
+        lambda tokens, machine, attempt: True,
     ),
     "the answer has the old token": (
         ShardOwner,
--- a/tests/test_handover.py
+++ b/tests/test_handover.py
@@ -52,7 +52,7 @@
     shard.assign([])
     shard.report((0, EARLIER_ATTEMPT, "running"), seq=2)
     assert shard.owner.machines == {}
-    assert shard.owner.unrecorded == {}
+    assert shard.owner.unrecorded.found == {}
     shard.report(session=2, seq=3)
     assert shard.owner.machines["m-1"].token_confirmed
 
@@ -174,13 +174,13 @@
     for age_s, expected in ((0.5, False), (1.2, False), (1.4, True)):
         now = shard.now + age_s
         for name in ("m-1", "m-2", "m-3"):
-            shard.owner.on_heard_elsewhere(name, now - 0.3)
+            shard.owner.silence.on_heard_elsewhere(name, now - 0.3)
         shard.owner.tick(now, now)
-        assert shard.owner.is_unreachable(now) == expected
+        assert shard.owner.silence.is_owner_unreachable(now) == expected
     shard.now += 2.0
     for name in ("m-1", "m-2", "m-3"):
         shard.report(machine=name)
-    assert not shard.owner.is_unreachable(shard.now)
+    assert not shard.owner.silence.is_owner_unreachable(shard.now)
 
 
 def test_a_delayed_run_of_a_cancelled_job_empties_its_machine(settings: Settings) -> None:
--- a/tests/test_shard_owner.py
+++ b/tests/test_shard_owner.py
@@ -283,13 +283,15 @@
     shard.report((0, attempt, "running"))
     for _ in range(3):
         shard.tick(1.0)
-    assert shard.owner.to_probe(shard.now) == [("m-1", "m:1")]
-    shard.owner.on_unreported([("m-7", "m:7"), ("m-1", "m:1")])
-    assert shard.owner.to_probe(shard.now) == [("m-1", "m:1"), ("m-7", "m:7")]
+    assert shard.owner.silence.to_probe(shard.now) == [("m-1", "m:1")]
+    shard.owner.silence.on_unreported([("m-7", "m:7"), ("m-1", "m:1")])
+    assert shard.owner.silence.to_probe(shard.now) == [("m-1", "m:1"), ("m-7", "m:7")]
     for by in ("node-0", "node-1"):
-        shard.owner.on_probe_result("m-1", ProbeResult(by, ProbeOutcome.NO_CONNECTION, shard.now))
-        shard.owner.on_probe_result("m-7", ProbeResult(by, ProbeOutcome.REFUSED, shard.now))
-    assert shard.owner.to_probe(shard.now) == []
+        shard.owner.silence.on_probe_result(
+            "m-1", ProbeResult(by, ProbeOutcome.NO_CONNECTION, shard.now)
+        )
+        shard.owner.silence.on_probe_result("m-7", ProbeResult(by, ProbeOutcome.REFUSED, shard.now))
+    assert shard.owner.silence.to_probe(shard.now) == []
     view = shard.owner.next_view("node-0", 9, shard.now)
     outcomes_by_machine = {
         name: {outcome for _, outcome, _ in probes} for name, _, probes in view.silences
@@ -297,11 +299,11 @@
     assert outcomes_by_machine == {"m-1": {"no_connection"}, "m-7": {"refused"}}
     shard.tick(1.0)
     shard.report((0, attempt, "running"))
-    shard.owner.on_probe_result(
+    shard.owner.silence.on_probe_result(
         "m-1", ProbeResult("node-2", ProbeOutcome.NO_CONNECTION, shard.now - 0.5)
     )
     shard.report(machine="m-7", seq=1)
-    shard.owner.on_unreported([])
+    shard.owner.silence.on_unreported([])
     assert shard.owner.next_view("node-0", 9, shard.now).silences == []
 
 
@@ -401,7 +403,7 @@
     shard.put(shard_key(0), {"o": "node-1", "i": "next"})
     assert shard.report(ended, why="stopped") == []
     assert shard.owner.command_token("m-1") == TOKEN
-    assert shard.owner.is_superseded_by(shard.revision)
+    assert shard.owner.tokens.is_superseded_by(shard.revision)
 
 
 def test_the_answer_that_forgets_has_a_higher_token_at_most_the_revision(
@@ -418,11 +420,11 @@
     assert forget == Forget((UID, 0), request.commands[0].attempt)
     assert shard.owner.command_token("m-1") == shard.revision
     assert shard.owner.command_token("m-2") == TOKEN
-    assert not shard.owner.is_superseded_by(shard.revision)
-    assert shard.owner.is_superseded_by(shard.revision + 1)
+    assert not shard.owner.tokens.is_superseded_by(shard.revision)
+    assert shard.owner.tokens.is_superseded_by(shard.revision + 1)
     # A worker that has been removed here meanwhile still has the token.
     shard.owner.on_released(["m-1"])
-    assert not shard.owner.is_superseded_by(shard.revision)
+    assert not shard.owner.tokens.is_superseded_by(shard.revision)
 
 
 def test_an_attempt_that_the_next_owner_finds_is_forgotten_under_its_token(
@@ -596,10 +598,10 @@
     assert shard.report((1, earlier_attempt, "ended"), why=why) == [
         Forget((UID, 1), earlier_attempt)
     ]
-    assert shard.owner.unrecorded == {}
+    assert shard.owner.unrecorded.found == {}
     # A running attempt that no assignment holds is a sign of lost data.
     shard.report((1, earlier_attempt, "running"))
-    assert set(shard.owner.unrecorded) == {((UID, 1), earlier_attempt)}
+    assert set(shard.owner.unrecorded.found) == {((UID, 1), earlier_attempt)}
 
 
 def test_a_report_whose_processing_failed_does_not_count(
