--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -89,6 +89,7 @@
 
     report_s, lease_s, cancel_s = 2.5, 14.0, 39.0
     first_machine = 231  # number in the name of the first machine
+    new_machines_fail = False  # whether machines that are rented now fail every task
     zones = ("sfax-hall", "tunis-annex")
     areas = ("sfax-hall", "tunis-annex", "sfax-hall")  # of the controllers
     teams = (
@@ -182,11 +183,21 @@
         name = f"m-{number:06d}"
         worker = SmallWorker(self, name, type_, zone, spot, f"{self._host}:{9000 + number}")
         worker.boot_factor = QUICK_BOOT_S / type_.boot_s
+        worker.faulty = self.new_machines_fail
         self.workers[name] = worker
         self.nursery.start_soon(worker.run)
         self.note(f"cloud: {name} is rented: {type_.name}, {zone}, {'spot' if spot else 'steady'}")
         return name
 
+    def take_back(self, name: str) -> None:
+        """The cloud takes a spot machine back without notice; it is not listed any more."""
+        worker = self.workers[name]
+        assert worker.spot, f"{name} is not a spot machine"
+        self.note(f"cloud: {name} is taken back with {worker.active_tasks()}")
+        for task in worker.active_tasks():
+            self.on_task_ended(worker, task, "its machine is taken back")
+        worker.shut_down()
+
     def stop_machine(self, name: str) -> None:
         """The machine stops with all that is on it."""
         worker = self.workers[name]
