--- a/review/common-3/world.py
+++ b/review/common-3/world.py
@@ -20,15 +20,20 @@
 ROOT = Path(__file__).resolve().parents[2]
 sys.path[:0] = [str(ROOT), str(ROOT / "target" / "deps")]
 
-import trio  # noqa: E402
+HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 
-from ryegauge.emulator.cloud import Cloud  # noqa: E402
-from ryegauge.emulator.fleet import FleetType  # noqa: E402
-from ryegauge.emulator.state import StateService  # noqa: E402
-from ryegauge.emulator.workers import Worker  # noqa: E402
-from ryegauge.transport.http import Handler, Reply, TcpNetwork, Unreachable, decode  # noqa: E402
+try:
+    import trio
+
+    from ryegauge.emulator.cloud import Cloud
+    from ryegauge.emulator.fleet import FleetType
+    from ryegauge.emulator.state import StateService
+    from ryegauge.emulator.workers import Worker
+    from ryegauge.transport.http import Handler, Reply, TcpNetwork, Unreachable, decode
+except ImportError as error:
+    print(f"could not run: {error}")
+    sys.exit(COULD_NOT_RUN)
 
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
 USER_TIMEOUT_S = 5.0
 POLL_TIMEOUT_S = 2.0
 POLL_INTERVAL_S = 5.0
@@ -106,8 +111,7 @@
         self.rng = random.Random(seed)
         self._record = (folder / "record.txt").open("w", encoding="utf-8")
         # An address of the loopback network for each run, so that all ports are free.
-        self._host = "127." + ".".join(str(n) for n in (1 + os.urandom(1)[0] % 250, *os.urandom(2)))
-        self._host += "" if not self._host.endswith(".0") else "1"
+        self._host = "127." + ".".join(str(1 + octet % 250) for octet in os.urandom(3))
         self.controllers = {
             f"lamphouse-{n}": f"{self._host}:{8000 + n}" for n in range(len(self.areas))
         }
